--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -16,6 +16,16 @@
 	Content Content
 }
 
+// InvalidError says why a document that was read cannot be used. The way to
+// it works, so asking again does not help; a later document does.
+type InvalidError struct{ Err error }
+
+// Error implements error.
+func (e *InvalidError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the reason.
+func (e *InvalidError) Unwrap() error { return e.Err }
+
 // NewContent returns a content without entities.
 func NewContent() Content { return Empty().Content }
 
--- a/internal/system/document.go
+++ b/internal/system/document.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/table"
@@ -39,12 +41,20 @@
 
 // receiveDocument puts a document in the place of the one held.
 func receiveDocument(w *table.World, now time.Time, r DocumentRead, out *Outbox) {
+	var invalid *config.InvalidError
+	if errors.As(r.Err, &invalid) {
+		r.Err = nil // the store did answer
+	}
 	noteLog(w, r.Err, out)
 	if r.Err != nil {
 		return
 	}
 	w.Log.CaughtUp = true
 	rest(w, now)
+	if invalid != nil {
+		raise(w, AlarmDocument, invalid.Error(), out)
+		return
+	}
 	if r.Document.Version <= w.Config.State.Version {
 		return
 	}
--- a/internal/system/document_test.go
+++ b/internal/system/document_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/table"
@@ -48,6 +49,20 @@
 	is.Equal(w.Alarms[AlarmDocument], "")
 }
 
+// TestUnusableDocumentRaisesItsAlarm lets a document arrive that cannot be
+// read: the store is up, the version held stays, the operator is told why.
+func TestUnusableDocumentRaisesItsAlarm(t *testing.T) {
+	is := is.New(t)
+	w := documentWorld()
+	at := time.Unix(1001, 0)
+	Tick(w, at, []Input{DocumentRead{Document: documentOf(5, 3)}})
+	Tick(w, at, []Input{DocumentRead{Err: &config.InvalidError{Err: errors.New("cut short")}}})
+	is.True(w.Log.Up)
+	is.Equal(w.Config.State.Version, uint64(5))
+	is.Equal(w.Alarms[AlarmDocument], "cut short")
+	is.True(w.Log.CaughtUp) // what peers hold may be served after a restart
+}
+
 // TestDeltaLeadsToTheSameState sends the difference between two versions to a
 // daemon that holds the first, as a long storm of changes would, and to one
 // that holds another.
