Owners are asked about an attempt at twice the route's usual time, at the earliest

Cause: on the larger deployments an ordinary call lasts 360 to 470 ms and the setting is 500 ms: a quarter of all calls opened a connection to ask whether they were in work. Change: max(calls.inquire_after, twice the usual time of the route's calls).

Test: TestSlowRoutesAreNotAskedAboutAllTheTime.

--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -73,6 +73,9 @@
 	Incarnation uint64
 	Urgency     config.Urgency
 	Deadline    time.Time
+	// Usual is how long calls of the route usually take, as the ingress has
+	// seen it.
+	Usual time.Duration
 	// Repeatable says that the call may run more than once.
 	Repeatable bool
 	// Key is the caller's idempotency key, or "".
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -220,6 +220,7 @@
 	}
 	n := need{urgency: c.attempt.Urgency, objective: objective, tried: tried}
 	n.bytes, n.took = in.picker.expect(c.route.Name, len(c.attempt.Body), objective)
+	c.attempt.Usual = n.took
 	return n
 }
 
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -87,7 +87,8 @@
 func (r *remote) carry(ctx context.Context, u view.Upstream, a *Attempt) Result {
 	p := r.pool(u.Owner)
 	ctx, cancel := context.WithCancelCause(ctx)
-	watch := time.AfterFunc(r.inquireAfter, func() { r.inquire(ctx, cancel, u, a) })
+	every := r.patience(a)
+	watch := time.AfterFunc(every, func() { r.inquire(ctx, cancel, u, a, every) })
 	res, err := p.do(ctx, r.ownerRequest(u, a))
 	watch.Stop()
 	if err != nil {
@@ -175,9 +176,20 @@
 	}
 }
 
+// usualFactor is how many times as long as usual an attempt takes before its
+// owner is asked about it. Each question opens a connection; at twice the usual
+// time few ordinary calls are left to ask about, and a silent connection is
+// still found within the objective of a route whose calls usually meet it.
+const usualFactor = 2
+
+// patience is the interval of questions about an attempt.
+func (r *remote) patience(a *Attempt) time.Duration {
+	return max(r.inquireAfter, usualFactor*a.Usual)
+}
+
 // inquire asks the owner over fresh connections whether an attempt without an
 // answer is in work there, and cancels it if its connection is silent.
-func (r *remote) inquire(ctx context.Context, cancel context.CancelCauseFunc, u view.Upstream, a *Attempt) {
+func (r *remote) inquire(ctx context.Context, cancel context.CancelCauseFunc, u view.Upstream, a *Attempt, every time.Duration) {
 	misses := 0
 	for misses < askTries && ctx.Err() == nil {
 		state, err := r.ask(ctx, pathAttempt, u, a)
@@ -190,7 +202,7 @@
 		default:
 			misses++
 		}
-		if !pause(ctx, r.inquireAfter) {
+		if !pause(ctx, every) {
 			return
 		}
 	}
