Calls that an upstream makes for a request it is running rank with that request

Cause: a call refused at the service below fails its parent, which has used a slot for its whole work by then; calls made for others queued first come first served with uploads of equal urgency. Change: the ID tells the parent (platform), and it counts only if that request runs at the upstream of this VM; then the call is as urgent as its parent at least, and goes before others of that urgency. Ruled out: believing the ID alone (anybody can write one).

--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -53,6 +53,8 @@
 	headerUpstream    = "Comfrey-Upstream"
 	headerIncarnation = "Comfrey-Incarnation"
 	headerUrgency     = "Comfrey-Urgency"
+	// headerNested is present on nested calls.
+	headerNested = "Comfrey-Nested"
 	// headerLeft is how long the ingress will wait, in microseconds. Clocks
 	// of two VMs differ, so no point in time is sent.
 	headerLeft = "Comfrey-Left-Us"
@@ -76,6 +78,8 @@
 	// Usual is how long calls of the route usually take, as the ingress has
 	// seen it.
 	Usual time.Duration
+	// Nested says that an upstream makes the call for a request it is running.
+	Nested bool
 	// Repeatable says that the call may run more than once.
 	Repeatable bool
 	// Key is the caller's idempotency key, or "".
--- a/internal/callpath/dialect.go
+++ b/internal/callpath/dialect.go
@@ -26,6 +26,9 @@
 	// Echoed says that upstreams repeat Request on their answers, so that an
 	// answer with another ID belongs to another request.
 	Echoed bool
+	// Parent returns the ID of the request on whose behalf an upstream made
+	// the one with this ID, or "" if the ID does not tell. Nil: it never does.
+	Parent func(request string) string
 	// Fractions says that callers read fractions of a second in Retry-After.
 	Fractions bool
 }
--- a/internal/callpath/gate.go
+++ b/internal/callpath/gate.go
@@ -25,9 +25,10 @@
 )
 
 // gate admits attempts to one upstream: at most as many at once as it has
-// slots, and a short queue in which the most urgent, then the first to come,
-// goes first: by deadline, kinds of call with a short one would keep those of
-// equal urgency with a long one out for good. The rest is refused at once. Safe for concurrent use.
+// slots, and a short queue in which the most urgent, then nested calls, then
+// the first to come go first: by deadline, kinds of call with a short one would
+// keep those of equal urgency with a long one out for good. The rest is refused
+// at once. Safe for concurrent use.
 type gate struct {
 	mu       sync.Mutex
 	now      func() time.Time
@@ -44,9 +45,26 @@
 	closed   Reason
 }
 
-// waiter is an attempt in the queue. admit is closed when it was decided.
+// rank orders attempts that wait for the same upstream.
+type rank struct {
+	urgency config.Urgency
+	nested  bool
+}
+
+func rankOf(a *Attempt) rank { return rank{urgency: a.Urgency, nested: a.Nested} }
+
+// above reports whether r goes before o, whoever came first.
+func (r rank) above(o rank) bool {
+	if r.urgency != o.urgency {
+		return r.urgency > o.urgency
+	}
+	return r.nested && !o.nested
+}
+
+// waiter is an attempt in the queue. decided is closed once it was admitted or
+// refused.
 type waiter struct {
-	urgency  config.Urgency
+	rank
 	deadline time.Time
 	// turn grows from one arrival to the next.
 	turn    uint64
@@ -96,8 +114,8 @@
 
 // acquire waits for a slot. An empty reason means that the attempt has one
 // and must release it; else it was refused and must not run.
-func (g *gate) acquire(ctx context.Context, urgency config.Urgency, deadline time.Time) (Reason, time.Duration) {
-	w, reason, after := g.enter(urgency, deadline)
+func (g *gate) acquire(ctx context.Context, r rank, deadline time.Time) (Reason, time.Duration) {
+	w, reason, after := g.enter(r, deadline)
 	if w == nil {
 		return reason, after
 	}
@@ -128,7 +146,7 @@
 
 // enter admits, queues or refuses an attempt. The waiter is nil if the
 // decision is final.
-func (g *gate) enter(urgency config.Urgency, deadline time.Time) (*waiter, Reason, time.Duration) {
+func (g *gate) enter(r rank, deadline time.Time) (*waiter, Reason, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed != "" {
@@ -139,7 +157,7 @@
 		return nil, "", 0
 	}
 	g.turns++
-	w := &waiter{urgency: urgency, deadline: deadline, turn: g.turns, decided: make(chan struct{})}
+	w := &waiter{rank: r, deadline: deadline, turn: g.turns, decided: make(chan struct{})}
 	if g.now().Add(g.wait(w)).After(deadline) {
 		return nil, ReasonOverload, g.retryAfter()
 	}
@@ -244,8 +262,8 @@
 type waiters []*waiter
 
 func (w *waiter) before(o *waiter) bool {
-	if w.urgency != o.urgency {
-		return w.urgency > o.urgency
+	if w.above(o.rank) || o.above(w.rank) {
+		return w.above(o.rank)
 	}
 	return w.turn < o.turn
 }
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -43,8 +43,10 @@
 type Owner struct {
 	cfg    OwnerConfig
 	ledger *ledger
-	guard  *stallGuard
-	stop   chan struct{}
+	// running are the requests that the upstreams here work at.
+	running *running
+	guard   *stallGuard
+	stop    chan struct{}
 	// leaving says that other daemons are to send their calls elsewhere.
 	leaving atomic.Bool
 	// lines bounds what is logged of attempts.
@@ -68,7 +70,7 @@
 func NewOwner(cfg OwnerConfig) *Owner {
 	o := &Owner{
 		cfg:    cfg,
-		ledger: newLedger(cfg.Now),
+		ledger: newLedger(cfg.Now), running: newRunning(),
 		guard:  newStallGuard(cfg.Now),
 		stop:   make(chan struct{}),
 		locals: map[string]*local{},
@@ -160,7 +162,7 @@
 	if loc == nil {
 		return o.refused(a, refusal)
 	}
-	reason, after := loc.gate.acquire(ctx, a.Urgency, a.Deadline)
+	reason, after := loc.gate.acquire(ctx, rankOf(a), a.Deadline)
 	if reason != "" {
 		o.ledger.abandon(a.ID)
 		return o.refused(a, withLoad(notRun(reason, after), loc))
@@ -215,6 +217,8 @@
 // run sends the attempt to the upstream.
 func (o *Owner) run(ctx context.Context, loc *local, a *Attempt) Result {
 	began := o.cfg.Now()
+	o.running.begin(a)
+	defer o.running.end(a)
 	res, err := loc.pool.do(ctx, o.upstreamRequest(loc, a))
 	if err != nil {
 		return o.failed(ctx, loc, a, began, err)
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -100,6 +100,7 @@
 		return nil, errors.Wrap(err, headerUrgency)
 	}
 	a.Urgency = config.Urgency(urgency)
+	a.Nested = h.Get(headerNested) != ""
 	left, err := strconv.ParseInt(h.Get(headerLeft), 10, 64)
 	if err != nil {
 		return nil, errors.Wrap(err, headerLeft)
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -107,6 +107,9 @@
 	h.Set(headerUpstream, a.Upstream)
 	h.Set(headerIncarnation, strconv.FormatUint(a.Incarnation, 10))
 	h.Set(headerUrgency, strconv.Itoa(int(a.Urgency)))
+	if a.Nested {
+		h.Set(headerNested, "1")
+	}
 	h.Set(headerLeft, strconv.FormatInt(time.Until(a.Deadline).Microseconds(), 10))
 	h.Set(HeaderDepth, strconv.Itoa(a.Depth))
 	stampClock(h, r.events)
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -60,6 +60,7 @@
 		Depth: depth + 1, Method: r.Method, URL: r.URL, Host: r.Host,
 		Header: stripped(r.Header), Body: body,
 	}
+	in.nest(&c.attempt)
 	c.route = route
 	return c, Result{}
 }
--- /dev/null
+++ b/internal/callpath/running_test.go
@@ -0,0 +1,65 @@
+package callpath
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreygate/comfreygate/internal/config"
+)
+
+// TestNestedCallsRankWithTheirParent covers a service whose calls lead to
+// another one that is short of slots: a refused call there wastes the slot of
+// its parent, which is worth ten times the call's own work.
+func TestNestedCallsRankWithTheirParent(t *testing.T) {
+	is := is.New(t)
+	owner := &Owner{running: newRunning()}
+	in := &Ingress{owner: owner, cfg: IngressConfig{Dialect: Dialect{Parent: func(id string) string {
+		if id == "parent.child" {
+			return "parent"
+		}
+		return ""
+	}}}}
+	parent := &Attempt{Request: "parent", Urgency: config.Critical}
+	child := &Attempt{Request: "parent.child", Urgency: config.Background}
+	in.nest(child)
+	is.True(!child.Nested) // no such request runs here: anybody can write an ID
+	owner.running.begin(parent)
+	in.nest(child)
+	is.True(child.Nested)
+	is.Equal(child.Urgency, config.Critical)
+	other := &Attempt{Request: "other", Urgency: config.Critical}
+	in.nest(other)
+	is.True(!other.Nested)
+	owner.running.end(parent)
+	late := &Attempt{Request: "parent.child", Urgency: config.Background}
+	in.nest(late)
+	is.True(!late.Nested)
+}
+
+// TestNestedCallsGoBeforeOthersOfTheirUrgency fills a short queue with calls of
+// one urgency: nested ones displace the others, more urgent ones displace both.
+func TestNestedCallsGoBeforeOthersOfTheirUrgency(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	g := newGate(func() time.Time { return at }, 1, 2, time.Time{})
+	enter := func(u config.Urgency, nested bool) *waiter {
+		w, _, _ := g.enter(rank{urgency: u, nested: nested}, at.Add(time.Minute))
+		return w
+	}
+	is.True(enter(config.Normal, false) == nil) // takes the slot
+	first, second := enter(config.Normal, false), enter(config.Normal, false)
+	nested := enter(config.Normal, true)
+	<-second.decided
+	is.Equal(second.refused, ReasonOverload)
+	urgent := enter(config.Critical, false)
+	<-first.decided
+	is.Equal(first.refused, ReasonOverload)
+	is.True(enter(config.Background, true) == nil) // refused: urgency comes first
+	g.release(time.Millisecond)
+	<-urgent.decided
+	g.release(time.Millisecond)
+	<-nested.decided
+	is.Equal(nested.refused, Reason(""))
+}
