Long bodies wait for their turn on the link of the VM that they go to

Cause: on links of 6 Mbit/s uploads of 60 KB fill what a posting upstream's VM can receive; calls of 1 KB that other services make with a slot held came in behind them and ran into their deadline of a second. Ruled out: the VMs cut off (all owners alike, at all times), the owners' queues (110 ms). An attempt whose body is on its way counts as known to its owner, which a question about it took for lost.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -125,7 +125,7 @@
 	a.owner = callpath.NewOwner(callpath.OwnerConfig{
 		Incarnation: a.world.Self.Incarnation, QueueFactor: s.Calls.QueueFactor,
 		ConnectTimeout: time.Duration(s.Calls.ConnectTimeout), IdleTimeout: time.Duration(s.Calls.UpstreamIdle),
-		Events: a.events, Metrics: m, Dialect: opts.Dialect, Logger: opts.Logger, Now: time.Now,
+		LinkMbps: s.Calls.LinkMbps, Events: a.events, Metrics: m, Dialect: opts.Dialect, Logger: opts.Logger, Now: time.Now,
 	})
 	a.ingress = callpath.NewIngress(callpath.IngressConfig{
 		VM: s.VM, Domain: s.FailureDomain, Caller: s.Platform.Service, MaxBody: s.Calls.MaxBody,
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -100,15 +100,17 @@
 	Slots    int
 	// Service is the mean time an attempt takes at the upstream.
 	Service time.Duration
+	// Intake is how long a long body waits before it may come.
+	Intake time.Duration
 }
 
 // loadFields is how many numbers a report of load has.
-const loadFields = 4
+const loadFields = 5
 
 // encode writes the load as a header's value.
 func (l Load) encode() string {
 	b := make([]byte, 0, 32)
-	for i, n := range [loadFields]int64{int64(l.InFlight), int64(l.Queued), int64(l.Slots), l.Service.Microseconds()} {
+	for i, n := range [loadFields]int64{int64(l.InFlight), int64(l.Queued), int64(l.Slots), l.Service.Microseconds(), l.Intake.Microseconds()} {
 		if i > 0 {
 			b = append(b, ' ')
 		}
@@ -129,7 +131,10 @@
 		n[i] = v
 		s = rest
 	}
-	return Load{InFlight: int(n[0]), Queued: int(n[1]), Slots: int(n[2]), Service: time.Duration(n[3]) * time.Microsecond}, true
+	return Load{
+		InFlight: int(n[0]), Queued: int(n[1]), Slots: int(n[2]),
+		Service: time.Duration(n[3]) * time.Microsecond, Intake: time.Duration(n[4]) * time.Microsecond,
+	}, true
 }
 
 // reached reports whether an upstream may have got the request. Refusals by
@@ -174,6 +179,8 @@
 	ReasonDraining    Reason = "draining"
 	ReasonGone        Reason = "upstream-gone"
 	ReasonOverload    Reason = "overload"
+	// ReasonLink: the body would wait too long for the link of the owner's VM.
+	ReasonLink Reason = "link-busy"
 	// ReasonShed: the upstream itself refused the request.
 	ReasonShed Reason = "upstream-refused"
 	// ReasonMoved: another upstream has the address.
--- a/internal/callpath/cost.go
+++ b/internal/callpath/cost.go
@@ -16,7 +16,7 @@
 // meets it, all beyond. A straight line would send calls across failure
 // domains for milliseconds that nobody notices: that doubled the bytes.
 func (p *picker) delayCost(u *view.Upstream, n need, usual time.Duration, now time.Time) float64 {
-	expected := float64(n.took) * p.slowness(u, usual, now)
+	expected := float64(n.took)*p.slowness(u, usual, now) + float64(p.bodyWait(u, n, now))
 	part := expected / float64(max(n.objective, time.Millisecond))
 	late := part * part * part
 	cost := late/(1+late) + slopeCost*part
@@ -26,6 +26,16 @@
 	return cost
 }
 
+// bodyWait returns how long the body would wait for the link of the upstream's
+// VM.
+func (p *picker) bodyWait(u *view.Upstream, n need, now time.Time) time.Duration {
+	st := p.stats[u.ID]
+	if n.body < longBody || u.Local || st == nil {
+		return 0
+	}
+	return max(0, st.load.Intake-now.Sub(st.loadAt))
+}
+
 // usual returns the mean service time of the upstreams heard of lately.
 func (p *picker) usual(s *view.Service, now time.Time) time.Duration {
 	var sum time.Duration
--- a/internal/callpath/gate.go
+++ b/internal/callpath/gate.go
@@ -158,20 +158,45 @@
 	}
 	g.turns++
 	w := &waiter{rank: r, deadline: deadline, turn: g.turns, decided: make(chan struct{})}
-	if g.now().Add(g.wait(w)).After(deadline) {
+	if !g.hasRoom(w) {
 		return nil, ReasonOverload, g.retryAfter()
 	}
 	if len(g.queue) >= g.maxQueue {
-		last := g.queue.last()
-		if last == nil || !w.before(last) {
-			return nil, ReasonOverload, g.retryAfter()
-		}
-		g.refuseWaiter(last, ReasonOverload)
+		g.refuseWaiter(g.queue.last(), ReasonOverload)
 	}
 	heap.Push(&g.queue, w)
 	return w, "", 0
 }
 
+// hasRoom reports whether an attempt may wait: it would be admitted in time,
+// and there is a place, or one that ranks lower to give up its own.
+func (g *gate) hasRoom(w *waiter) bool {
+	if g.now().Add(g.wait(w)).After(w.deadline) {
+		return false
+	}
+	if len(g.queue) < g.maxQueue {
+		return true
+	}
+	last := g.queue.last()
+	return last != nil && w.before(last)
+}
+
+// check says why an attempt would be refused if it came now. An empty reason:
+// it would be admitted, or wait.
+func (g *gate) check(r rank, deadline time.Time) (Reason, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.closed != "":
+		return g.closed, g.retryAfter()
+	case g.inFlight < g.limit():
+		return "", 0
+	case !g.hasRoom(&waiter{rank: r, deadline: deadline, turn: g.turns + 1}):
+		return ReasonOverload, g.retryAfter()
+	}
+	return "", 0
+}
+
 // wait estimates how long an attempt would wait for a slot.
 func (g *gate) wait(w *waiter) time.Duration {
 	ahead := 1
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -218,7 +218,7 @@
 	if objective == 0 {
 		objective = c.route.Policy.Timeout / patience
 	}
-	n := need{urgency: c.attempt.Urgency, objective: objective, tried: tried}
+	n := need{urgency: c.attempt.Urgency, objective: objective, body: len(c.attempt.Body), tried: tried}
 	n.bytes, n.took = in.picker.expect(c.route.Name, len(c.attempt.Body), objective)
 	c.attempt.Usual = n.took
 	return n
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -32,11 +32,13 @@
 	// IdleTimeout is how long an idle connection to an upstream is kept. It
 	// must be shorter than the upstream keeps it.
 	IdleTimeout time.Duration
-	Dialect     Dialect
-	Logger      zerolog.Logger
-	Events      *event.Ring
-	Metrics     *Metrics
-	Now         func() time.Time
+	// LinkMbps is the VM's own link, in Mbit/s; zero: it has no bound.
+	LinkMbps float64
+	Dialect  Dialect
+	Logger   zerolog.Logger
+	Events   *event.Ring
+	Metrics  *Metrics
+	Now      func() time.Time
 }
 
 // Owner runs attempts at the upstreams on its VM. Safe for concurrent use.
@@ -46,7 +48,9 @@
 	// running are the requests that the upstreams here work at.
 	running *running
 	guard   *stallGuard
-	stop    chan struct{}
+	// intake lets long bodies from other VMs in.
+	intake *intake
+	stop   chan struct{}
 	// leaving says that other daemons are to send their calls elsewhere.
 	leaving atomic.Bool
 	// lines bounds what is logged of attempts.
@@ -72,6 +76,7 @@
 		cfg:    cfg,
 		ledger: newLedger(cfg.Now), running: newRunning(),
 		guard:  newStallGuard(cfg.Now),
+		intake: newIntake(cfg.LinkMbps, cfg.Now),
 		stop:   make(chan struct{}),
 		locals: map[string]*local{},
 	}
@@ -162,10 +167,16 @@
 	if loc == nil {
 		return o.refused(a, refusal)
 	}
+	return o.admit(ctx, loc, a, stalls)
+}
+
+// admit waits for a slot and runs an attempt that was accepted when the process
+// had stalled so many times.
+func (o *Owner) admit(ctx context.Context, loc *local, a *Attempt, stalls int64) Result {
 	reason, after := loc.gate.acquire(ctx, rankOf(a), a.Deadline)
 	if reason != "" {
 		o.ledger.abandon(a.ID)
-		return o.refused(a, withLoad(notRun(reason, after), loc))
+		return o.refused(a, o.withLoad(notRun(reason, after), loc))
 	}
 	if o.guard.stalls() != stalls || o.guard.stalled() || !o.cfg.Now().Before(a.Deadline) {
 		loc.gate.release(0)
@@ -208,8 +219,9 @@
 	return r
 }
 
-func withLoad(r Result, loc *local) Result {
+func (o *Owner) withLoad(r Result, loc *local) Result {
 	r.Load = loc.gate.load()
+	r.Load.Intake = o.intake.wait()
 	r.HasLoad = true
 	return r
 }
@@ -228,17 +240,16 @@
 		res.Body.Close()
 		loc.gate.release(0)
 		o.ledger.abandon(a.ID)
-		return o.refused(a, withLoad(r, loc))
+		return o.refused(a, o.withLoad(r, loc))
 	}
 	body := &answerBody{ReadCloser: res.Body, done: func() {
 		loc.gate.release(o.cfg.Now().Sub(began))
 		o.ledger.finish(a.ID)
 	}}
 	o.cfg.Metrics.Started.Inc(1)
-	return Result{
-		Outcome: Answered, Status: res.StatusCode, Header: res.Header, Body: body,
-		Load: loc.gate.loadAfter(o.cfg.Now().Sub(began)), HasLoad: true,
-	}
+	load := loc.gate.loadAfter(o.cfg.Now().Sub(began))
+	load.Intake = o.intake.wait()
+	return Result{Outcome: Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true}
 }
 
 // failed judges a request that brought no answer. Only a connection that was
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -81,9 +81,47 @@
 		o.writeResult(w, o.refused(a, notRun(ReasonDraining, 0)))
 		return
 	}
-	o.writeResult(w, o.carry(r.Context(), a))
+	o.writeResult(w, o.receive(r, a))
 }
 
+// receive takes in an attempt from another VM and carries it. A long body is
+// asked for only once it is its turn, and the upstream has room as things are.
+func (o *Owner) receive(r *http.Request, a *Attempt) Result {
+	stalls := o.guard.stalls()
+	loc, refusal := o.accept(a)
+	if loc == nil {
+		return o.refused(a, refusal)
+	}
+	if refusal, ok := o.takeBody(r, loc, a); !ok {
+		o.ledger.abandon(a.ID)
+		return o.refused(a, o.withLoad(refusal, loc))
+	}
+	return o.admit(r.Context(), loc, a, stalls)
+}
+
+// takeBody reads the body, when it may come. False: the attempt is refused.
+func (o *Owner) takeBody(r *http.Request, loc *local, a *Attempt) (Result, bool) {
+	if r.ContentLength >= longBody {
+		if reason, after := loc.gate.check(rankOf(a), a.Deadline); reason != "" {
+			return notRun(reason, after), false
+		}
+		t, after, ok := o.intake.reserve(r.ContentLength, a.Deadline)
+		if !ok {
+			return notRun(ReasonLink, after), false
+		}
+		if !o.intake.await(r.Context(), t) {
+			return notRun(ReasonCancelled, 0), false
+		}
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return badRequest(errors.Wrap(err, "read body")), false
+	}
+	a.Body = body
+	return Result{}, true
+}
+
+// parseAttempt reads an attempt without its body.
 func parseAttempt(r *http.Request, now time.Time) (*Attempt, error) {
 	h := r.Header
 	a := &Attempt{
@@ -109,9 +147,6 @@
 	if a.Depth, err = strconv.Atoi(h.Get(HeaderDepth)); err != nil {
 		return nil, errors.Wrap(err, HeaderDepth)
 	}
-	if a.Body, err = io.ReadAll(r.Body); err != nil {
-		return nil, errors.Wrap(err, "read body")
-	}
 	a.Header = stripped(h)
 	return a, nil
 }
@@ -134,7 +169,7 @@
 }
 
 var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Connection": true, "Expect": true, "Keep-Alive": true, "Proxy-Authenticate": true,
 	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
--- a/internal/callpath/pick.go
+++ b/internal/callpath/pick.go
@@ -16,6 +16,8 @@
 	objective time.Duration
 	// took is how long the route's calls usually take.
 	took time.Duration
+	// body is the length of the request's body.
+	body int
 	// bytes is how much travels to the upstream's VM and back.
 	bytes int
 	// tried are upstreams that are not picked again.
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -93,11 +93,13 @@
 		if err := c.send(req); err != nil {
 			return nil, err
 		}
-		return c.receive(req)
+		return c.receive(req, nil)
 	}
 	sent := make(chan error, 1)
+	held := holdBody(req, c.bw.Flush)
 	go func() { sent <- c.send(req) }()
-	res, err := c.receive(req)
+	res, err := c.receive(req, held)
+	held.decide(false)
 	select {
 	case sendErr := <-sent:
 		if err != nil && sendErr != nil {
@@ -118,8 +120,9 @@
 	return errors.Wrap(c.bw.Flush(), "write request")
 }
 
-// receive reads the head of the answer to the request.
-func (c *clientConn) receive(req *http.Request) (*http.Response, error) {
+// receive reads the head of the answer to the request. A body that is held is
+// let go when the other end asks for it.
+func (c *clientConn) receive(req *http.Request, held *heldBody) (*http.Response, error) {
 	for {
 		res, err := http.ReadResponse(c.br, req)
 		if err != nil {
@@ -127,6 +130,9 @@
 		}
 		// Interim answers come before the final one.
 		if res.StatusCode < http.StatusOK {
+			if res.StatusCode == http.StatusContinue {
+				held.decide(true)
+			}
 			continue
 		}
 		if !c.pool.dialect.foreign(req, res) {
@@ -172,7 +178,11 @@
 		p.returnToken()
 		return nil, err
 	}
-	return &clientConn{Conn: conn, pool: p, br: bufio.NewReader(conn), bw: bufio.NewWriter(conn)}, nil
+	return newClientConn(p, conn), nil
+}
+
+func newClientConn(p *pool, conn net.Conn) *clientConn {
+	return &clientConn{Conn: conn, pool: p, br: bufio.NewReader(conn), bw: bufio.NewWriter(conn)}
 }
 
 func (p *pool) returnToken() {
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -112,6 +112,9 @@
 	}
 	h.Set(headerLeft, strconv.FormatInt(time.Until(a.Deadline).Microseconds(), 10))
 	h.Set(HeaderDepth, strconv.Itoa(a.Depth))
+	if len(a.Body) >= longBody {
+		h.Set("Expect", expectContinue)
+	}
 	stampClock(h, r.events)
 	return req
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -162,6 +162,9 @@
 	// multiple of a call's worth. A call leaves its failure domain only if the
 	// time gained is worth more. Default: 40.
 	CrossDomainCost float64 `yaml:"cross_domain_cost"`
+	// LinkMbps is this VM's link, in Mbit/s. Long bodies from other VMs are
+	// let in no faster than a part of it. Default: 0, no bound.
+	LinkMbps float64 `yaml:"link_mbps"`
 	// Drain is how long a stopping daemon goes on taking calls while it asks
 	// callers to connect elsewhere. Default: 2s.
 	Drain Duration `yaml:"drain"`
@@ -396,6 +399,8 @@
 		return &problem{"calls.retry_burst", "must be between 0 and 10000"}
 	case s.Calls.CrossDomainCost < 0 || s.Calls.CrossDomainCost > 1e6:
 		return &problem{"calls.cross_domain_cost", "must be between 0 and 1000000"}
+	case s.Calls.LinkMbps < 0 || s.Calls.LinkMbps > 1e6:
+		return &problem{"calls.link_mbps", "must be between 0 and 1000000"}
 	case s.GCPercent < 10 || s.GCPercent > 10_000:
 		return &problem{"gc_percent", "must be between 10 and 10000"}
 	case s.Events < 16:
