Peers that acknowledge nothing are given up in 0.6 s; a stopping daemon refuses what it could not finish

Causes: (1) a call to a VM that is cut off waited for its deadline, a question about it for two misses 500 ms apart. Change: TCP_USER_TIMEOUT on connections to owners; the second question follows after 100 ms. After calls.drain calls are refused as not run; 0.4 s before the exit those that wait are refused too, after asking their owner, and the others end as unknown.

--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -18,7 +18,10 @@
 	a.ready.Store(false)
 	a.ingress.Leave()
 	deadline := time.Now().Add(time.Duration(a.settings.Calls.Drain) + time.Duration(a.settings.Calls.DrainMax))
+	finish := time.AfterFunc(time.Until(deadline)-lastAnswers, a.ingress.Finish)
+	defer finish.Stop()
 	sleep(ctx, time.Duration(a.settings.Calls.Drain))
+	a.ingress.Refuse()
 	a.awaitLastCaller(ctx, time.Duration(a.settings.Calls.DrainWait))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -37,6 +40,9 @@
 }
 
 const (
+	// lastAnswers is how long before the end calls in flight are ended: time to
+	// ask an owner whether one has run, and to say so.
+	lastAnswers = 400 * time.Millisecond
 	// lastCallerIdle is how long no call has come when callers are taken to
 	// be gone: a tenth of what they take to notice that a daemon leaves.
 	lastCallerIdle = 300 * time.Millisecond
@@ -44,7 +50,8 @@
 )
 
 // awaitLastCaller waits while callers still come: some are not told that this
-// daemon leaves, or have nowhere else to go.
+// daemon leaves, or have nowhere else to go. They are refused as not run, which
+// tells them when to come back; a closed listener would not.
 func (a *Agent) awaitLastCaller(ctx context.Context, most time.Duration) {
 	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; {
 		if a.ingress.Idle() > lastCallerIdle {
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/comfreygate/comfreygate/internal/event"
@@ -72,6 +73,11 @@
 	// arrived is when the last call came, in Unix nanoseconds.
 	arrived atomic.Int64
 	leaving atomic.Bool
+	// closed says that no further call is taken.
+	closed atomic.Bool
+	// hurry ends when calls must end because the process does.
+	hurry   context.Context
+	hurryUp context.CancelFunc
 	// refusalLines and retryLines bound what is logged of calls.
 	refusalLines lineLimit
 	retryLines   lineLimit
@@ -94,11 +100,15 @@
 	in.remote.lost = in.avoidOwner
 	in.view.Store(&view.View{})
 	in.stop, in.end = context.WithCancel(context.Background())
+	in.hurry, in.hurryUp = context.WithCancel(context.Background())
 	return in
 }
 
 // Close ends the ingress's background work.
-func (in *Ingress) Close() { in.end() }
+func (in *Ingress) Close() {
+	in.end()
+	in.hurryUp()
+}
 
 // Update puts a view in force for the calls that arrive from here on.
 func (in *Ingress) Update(v *view.View) { in.view.Store(v) }
@@ -106,6 +116,17 @@
 // Leave asks callers to open new connections elsewhere.
 func (in *Ingress) Leave() { in.leaving.Store(true) }
 
+// Refuse refuses every further call, as not run: the process ends before it
+// could be sure to answer it.
+func (in *Ingress) Refuse() { in.closed.Store(true) }
+
+// Finish ends the calls that are still being carried: those that wait are
+// refused as not run, the outcome of the others is unknown.
+func (in *Ingress) Finish() { in.hurryUp() }
+
+// errStopping is why a call is ended by Finish.
+var errStopping = errors.New("the daemon stops")
+
 // Loads returns the loads of upstreams that their owners reported on answers
 // to this ingress within the last seconds.
 func (in *Ingress) Loads() map[string]Load { return in.picker.loads() }
@@ -136,8 +157,12 @@
 		in.refuse(w, &c, refusal)
 		return
 	}
+	if in.closed.Load() {
+		in.refuse(w, &c, notRun(ReasonDraining, restartTime))
+		return
+	}
 	c.service = v.Services[c.route.Next()]
-	ctx, cancel := context.WithDeadline(r.Context(), c.attempt.Deadline)
+	ctx, cancel := in.callContext(r.Context(), c.attempt.Deadline)
 	defer cancel()
 	res := in.run(ctx, &c)
 	if res.Body != nil {
@@ -151,6 +176,22 @@
 	writeAnswer(w, res)
 }
 
+// restartTime is when a caller of a stopping daemon may come back: what a
+// process took to end and to be ready again, as a rule, in rolling restarts.
+const restartTime = 2 * time.Second
+
+// callContext ends at the deadline, when the caller goes, and with Finish.
+func (in *Ingress) callContext(caller context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(caller)
+	unhook := context.AfterFunc(in.hurry, func() { cancel(errStopping) })
+	ctx, end := context.WithDeadline(ctx, deadline)
+	return ctx, func() {
+		unhook()
+		end()
+		cancel(nil)
+	}
+}
+
 // run tries upstreams until one answers, none is left, the outcome is unknown
 // and may not be repeated, or the policy, the budget or the time is used up.
 func (in *Ingress) run(ctx context.Context, c *call) Result {
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -22,6 +22,9 @@
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout time.Duration
 	dialect     Dialect
+	// unacked bounds how long sent bytes may stay unacknowledged; zero: the
+	// system's own bound, minutes.
+	unacked time.Duration
 	// tokens holds one token per connection that may be open, or is nil.
 	tokens chan struct{}
 
@@ -178,6 +181,11 @@
 		p.returnToken()
 		return nil, err
 	}
+	if err := boundUnacked(conn, p.unacked); err != nil {
+		conn.Close()
+		p.returnToken()
+		return nil, errors.Wrap(err, "bound unacknowledged bytes")
+	}
 	return newClientConn(p, conn), nil
 }
 
--- a/internal/callpath/pool_linux.go
+++ b/internal/callpath/pool_linux.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -27,3 +28,24 @@
 	})
 	return err == nil && open
 }
+
+// boundUnacked ends a connection on which sent bytes stay unacknowledged for so
+// long. Zero leaves the system's bound. Source: tcp(7), TCP_USER_TIMEOUT.
+func boundUnacked(c net.Conn, limit time.Duration) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok || limit == 0 {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -20,12 +20,20 @@
 const (
 	// askTimeout bounds a question to an owner.
 	askTimeout = 500 * time.Millisecond
+	// askAgain is the pause after a question that failed: long enough that a
+	// lost packet or a full queue of connections does not count twice.
+	askAgain = 100 * time.Millisecond
 	// askTries is how many questions in a row may fail before the connection
 	// is given up.
 	askTries = 2
 	// ownerIdle is how long an idle connection to an owner is kept. Owners
 	// keep theirs longer.
 	ownerIdle = 60 * time.Second
+	// ownerUnacked is how long what was sent to an owner may stay
+	// unacknowledged. A VM that is cut off or has no power answers nothing,
+	// and calls to it would wait until their deadline. It leaves time to send
+	// a lost packet twice more, at the 200 ms after which systems do so first.
+	ownerUnacked = 600 * time.Millisecond
 	// ownersKeep is how many owners' connections are kept open.
 	ownersKeep = 2048
 )
@@ -71,6 +79,7 @@
 		r.forgetOne()
 	}
 	p = newPool(r.dialer, owner, 0, ownerIdle, Dialect{})
+	p.unacked = ownerUnacked
 	r.owners[owner] = p
 	return p
 }
@@ -155,10 +164,13 @@
 		out.OwnerDown = true
 		return out
 	}
-	if errors.Is(context.Cause(ctx), errSilent) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent):
 		r.metrics.Silent.Inc(1)
 		p.closeIdle()
-	} else if ctx.Err() != nil {
+	case errors.Is(cause, errStopping):
+		// The process ends soon; whoever still waits for a slot is told so.
+	case ctx.Err() != nil:
 		// The caller has gone or its time is up: it gets its answer now.
 		go r.voidLate(context.WithoutCancel(ctx), u, a)
 		return unknown(cancelReason(ctx), err)
@@ -199,6 +211,7 @@
 	misses := 0
 	for misses < askTries && ctx.Err() == nil {
 		state, err := r.ask(ctx, pathAttempt, u, a)
+		next := every
 		switch {
 		case err == nil && (state == Waiting || state == Started):
 			misses = 0
@@ -207,8 +220,9 @@
 			continue
 		default:
 			misses++
+			next = askAgain
 		}
-		if !pause(ctx, every) {
+		if !pause(ctx, next) {
 			return
 		}
 	}
