A queue is as long as what waits in it can still be answered in time

Change: an attempt waits only if its answer can come within the route's objective, or a quarter of the service time; the objective travels with it.

--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -58,7 +58,10 @@
 	// headerLeft is how long the ingress will wait, in microseconds. Clocks
 	// of two VMs differ, so no point in time is sent.
 	headerLeft = "Comfrey-Left-Us"
-	headerLoad = "Comfrey-Load"
+	// headerObjective is how long it is until the answer should be there, in
+	// microseconds; it may be negative.
+	headerObjective = "Comfrey-Objective-Us"
+	headerLoad      = "Comfrey-Load"
 	// headerClock carries the sender's clock, so that on the merged time line
 	// what an ingress did stands before what it caused at an owner.
 	headerClock = "Comfrey-Clock"
@@ -75,6 +78,8 @@
 	Incarnation uint64
 	Urgency     config.Urgency
 	Deadline    time.Time
+	// Objective is when the answer should be there, or zero.
+	Objective time.Time
 	// Usual is how long calls of the route usually take, as the ingress has
 	// seen it.
 	Usual time.Duration
--- a/internal/callpath/gate.go
+++ b/internal/callpath/gate.go
@@ -51,7 +51,18 @@
 	nested  bool
 }
 
-func rankOf(a *Attempt) rank { return rank{urgency: a.Urgency, nested: a.Nested} }
+// ask is what an attempt wants of a gate.
+type ask struct {
+	rank
+	deadline time.Time
+	// objective is when its answer should be there, or zero if that matters
+	// no more than the deadline.
+	objective time.Time
+}
+
+func askOf(a *Attempt) ask {
+	return ask{rank: rank{urgency: a.Urgency, nested: a.Nested}, deadline: a.Deadline, objective: a.Objective}
+}
 
 // above reports whether r goes before o, whoever came first.
 func (r rank) above(o rank) bool {
@@ -64,8 +75,7 @@
 // waiter is an attempt in the queue. decided is closed once it was admitted or
 // refused.
 type waiter struct {
-	rank
-	deadline time.Time
+	ask
 	// turn grows from one arrival to the next.
 	turn    uint64
 	decided chan struct{}
@@ -114,12 +124,12 @@
 
 // acquire waits for a slot. An empty reason means that the attempt has one
 // and must release it; else it was refused and must not run.
-func (g *gate) acquire(ctx context.Context, r rank, deadline time.Time) (Reason, time.Duration) {
-	w, reason, after := g.enter(r, deadline)
+func (g *gate) acquire(ctx context.Context, a ask) (Reason, time.Duration) {
+	w, reason, after := g.enter(a)
 	if w == nil {
 		return reason, after
 	}
-	last := time.NewTimer(deadline.Sub(g.now()) - answerMargin)
+	last := time.NewTimer(a.deadline.Sub(g.now()) - answerMargin)
 	defer last.Stop()
 	select {
 	case <-w.decided:
@@ -146,7 +156,7 @@
 
 // enter admits, queues or refuses an attempt. The waiter is nil if the
 // decision is final.
-func (g *gate) enter(r rank, deadline time.Time) (*waiter, Reason, time.Duration) {
+func (g *gate) enter(a ask) (*waiter, Reason, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed != "" {
@@ -157,7 +167,7 @@
 		return nil, "", 0
 	}
 	g.turns++
-	w := &waiter{rank: r, deadline: deadline, turn: g.turns, decided: make(chan struct{})}
+	w := &waiter{ask: a, turn: g.turns, decided: make(chan struct{})}
 	if !g.hasRoom(w) {
 		return nil, ReasonOverload, g.retryAfter()
 	}
@@ -171,7 +181,7 @@
 // hasRoom reports whether an attempt may wait: it would be admitted in time,
 // and there is a place, or one that ranks lower to give up its own.
 func (g *gate) hasRoom(w *waiter) bool {
-	if g.now().Add(g.wait(w)).After(w.deadline) {
+	if g.wait(w) > g.patience(w.ask) {
 		return false
 	}
 	if len(g.queue) < g.maxQueue {
@@ -181,9 +191,28 @@
 	return last != nil && w.before(last)
 }
 
+// shortQueue is the wait that is worth it even where the answer then comes late,
+// as a part of the service time: without any queue slots would stand empty
+// between one attempt and the next.
+const shortQueue = 0.25
+
+// patience returns how long an attempt may wait for a slot: as long as its
+// answer can come within its objective. A longer queue passes no more calls, it
+// only makes all of them late: with one as long as the slots, three quarters of
+// the calls answered under steady overload were.
+func (g *gate) patience(a ask) time.Duration {
+	now := g.now()
+	most := a.deadline.Sub(now)
+	if a.objective.IsZero() {
+		return most
+	}
+	inTime := max(a.objective.Sub(now)-g.service, time.Duration(shortQueue*float64(g.service)))
+	return min(most, inTime)
+}
+
 // check says why an attempt would be refused if it came now. An empty reason:
 // it would be admitted, or wait.
-func (g *gate) check(r rank, deadline time.Time) (Reason, time.Duration) {
+func (g *gate) check(a ask) (Reason, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -191,7 +220,7 @@
 		return g.closed, g.retryAfter()
 	case g.inFlight < g.limit():
 		return "", 0
-	case !g.hasRoom(&waiter{rank: r, deadline: deadline, turn: g.turns + 1}):
+	case !g.hasRoom(&waiter{ask: a, turn: g.turns + 1}):
 		return ReasonOverload, g.retryAfter()
 	}
 	return "", 0
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -173,7 +173,7 @@
 // admit waits for a slot and runs an attempt that was accepted when the process
 // had stalled so many times.
 func (o *Owner) admit(ctx context.Context, loc *local, a *Attempt, stalls int64) Result {
-	reason, after := loc.gate.acquire(ctx, rankOf(a), a.Deadline)
+	reason, after := loc.gate.acquire(ctx, askOf(a))
 	if reason != "" {
 		o.ledger.abandon(a.ID)
 		return o.refused(a, o.withLoad(notRun(reason, after), loc))
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -102,7 +102,7 @@
 // takeBody reads the body, when it may come. False: the attempt is refused.
 func (o *Owner) takeBody(r *http.Request, loc *local, a *Attempt) (Result, bool) {
 	if r.ContentLength >= longBody {
-		if reason, after := loc.gate.check(rankOf(a), a.Deadline); reason != "" {
+		if reason, after := loc.gate.check(askOf(a)); reason != "" {
 			return notRun(reason, after), false
 		}
 		t, after, ok := o.intake.reserve(r.ContentLength, a.Deadline)
@@ -144,6 +144,13 @@
 		return nil, errors.Wrap(err, headerLeft)
 	}
 	a.Deadline = now.Add(time.Duration(left) * time.Microsecond)
+	if text := h.Get(headerObjective); text != "" {
+		left, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return nil, errors.Wrap(err, headerObjective)
+		}
+		a.Objective = now.Add(time.Duration(left) * time.Microsecond)
+	}
 	if a.Depth, err = strconv.Atoi(h.Get(HeaderDepth)); err != nil {
 		return nil, errors.Wrap(err, HeaderDepth)
 	}
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -120,6 +120,9 @@
 		h.Set(headerNested, "1")
 	}
 	h.Set(headerLeft, strconv.FormatInt(time.Until(a.Deadline).Microseconds(), 10))
+	if !a.Objective.IsZero() {
+		h.Set(headerObjective, strconv.FormatInt(time.Until(a.Objective).Microseconds(), 10))
+	}
 	h.Set(HeaderDepth, strconv.Itoa(a.Depth))
 	if len(a.Body) >= longBody {
 		h.Set("Expect", expectContinue)
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -60,6 +60,9 @@
 		Depth: depth + 1, Method: r.Method, URL: r.URL, Host: r.Host,
 		Header: stripped(r.Header), Body: body,
 	}
+	if objective := route.Policy.Objective; objective > 0 {
+		c.attempt.Objective = now.Add(objective)
+	}
 	in.nest(&c.attempt)
 	c.route = route
 	return c, Result{}
--- a/internal/callpath/running_test.go
+++ b/internal/callpath/running_test.go
@@ -45,7 +45,7 @@
 	at := time.Unix(1000, 0)
 	g := newGate(func() time.Time { return at }, 1, 2, time.Time{})
 	enter := func(u config.Urgency, nested bool) *waiter {
-		w, _, _ := g.enter(rank{urgency: u, nested: nested}, at.Add(time.Minute))
+		w, _, _ := g.enter(ask{rank: rank{urgency: u, nested: nested}, deadline: at.Add(time.Minute)})
 		return w
 	}
 	is.True(enter(config.Normal, false) == nil) // takes the slot
