--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -47,7 +48,9 @@
 	ledger *ledger
 	// running are the requests that the upstreams here work at.
 	running *running
-	guard   *stallGuard
+	// below keeps requests out whose calls would fail.
+	below *below
+	guard *stallGuard
 	// intake lets long bodies from other VMs in.
 	intake *intake
 	stop   chan struct{}
@@ -74,7 +77,7 @@
 func NewOwner(cfg OwnerConfig) *Owner {
 	o := &Owner{
 		cfg:    cfg,
-		ledger: newLedger(cfg.Now), running: newRunning(),
+		ledger: newLedger(cfg.Now), running: newRunning(), below: newBelow(cfg.Now, rand.Float64),
 		guard:  newStallGuard(cfg.Now),
 		intake: newIntake(cfg.LinkMbps, cfg.Now),
 		stop:   make(chan struct{}),
@@ -204,6 +207,9 @@
 	if loc == nil {
 		return nil, notRun(ReasonGone, 0)
 	}
+	if !a.Nested && !o.below.admits(a.Urgency) {
+		return nil, notRun(ReasonBelow, belowRetry)
+	}
 	if reason, ok := o.ledger.receive(a); !ok {
 		if reason == ReasonDuplicate {
 			return nil, unknown(ReasonDuplicate, errors.New("an earlier copy of this request was started"))
--- a/internal/callpath/running.go
+++ b/internal/callpath/running.go
@@ -36,9 +36,10 @@
 }
 
 // nest ranks a call that an upstream of this VM makes for a request it is
-// running: at least as urgent as that request, and before other calls of that
-// urgency. To refuse it wastes the slot that its parent holds and what the
-// parent has done so far.
+// running: as urgent as that request, and before other calls of that urgency.
+// To refuse it wastes the slot that its parent holds and what the parent has
+// done so far. A route's own urgency would let the calls of less urgent requests
+// go before more urgent requests.
 func (in *Ingress) nest(a *Attempt) {
 	if in.cfg.Dialect.Parent == nil || in.owner == nil {
 		return
@@ -49,6 +50,14 @@
 	}
 	if urgency, ok := in.owner.running.urgency(parent); ok {
 		a.Nested = true
-		a.Urgency = max(a.Urgency, urgency)
+		a.Urgency = urgency
+	}
+}
+
+// noteNested tells the owner what became of a call of its upstream. One whose
+// parent has gone says nothing.
+func (in *Ingress) noteNested(a *Attempt, r Result) {
+	if a.Nested && r.Reason != ReasonCancelled {
+		in.owner.below.note(a.Urgency, r.Outcome != Answered || failed(r))
 	}
 }
--- a/internal/callpath/running_test.go
+++ b/internal/callpath/running_test.go
@@ -29,6 +29,9 @@
 	in.nest(child)
 	is.True(child.Nested)
 	is.Equal(child.Urgency, config.Critical)
+	urgent := &Attempt{Request: "parent.child", Urgency: config.MostUrgent}
+	in.nest(urgent)
+	is.Equal(urgent.Urgency, config.Critical) // no more than its parent
 	other := &Attempt{Request: "other", Urgency: config.Critical}
 	in.nest(other)
 	is.True(!other.Nested)
