--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -186,8 +186,6 @@
 	ReasonOverload    Reason = "overload"
 	// ReasonLink: the body would wait too long for the link of the owner's VM.
 	ReasonLink Reason = "link-busy"
-	// ReasonBelow: calls that the upstream would make for it are being refused.
-	ReasonBelow Reason = "calls-below-refused"
 	// ReasonShed: the upstream itself refused the request.
 	ReasonShed Reason = "upstream-refused"
 	// ReasonMoved: another upstream has the address.
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -165,7 +165,6 @@
 	ctx, cancel := in.callContext(r.Context(), c.attempt.Deadline)
 	defer cancel()
 	res := in.run(ctx, &c)
-	in.noteNested(&c.attempt, res)
 	if res.Body != nil {
 		defer res.Body.Close()
 	}
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -48,9 +47,7 @@
 	ledger *ledger
 	// running are the requests that the upstreams here work at.
 	running *running
-	// below keeps requests out whose calls would fail.
-	below *below
-	guard *stallGuard
+	guard   *stallGuard
 	// intake lets long bodies from other VMs in.
 	intake *intake
 	stop   chan struct{}
@@ -77,7 +74,7 @@
 func NewOwner(cfg OwnerConfig) *Owner {
 	o := &Owner{
 		cfg:    cfg,
-		ledger: newLedger(cfg.Now), running: newRunning(), below: newBelow(cfg.Now, rand.Float64),
+		ledger: newLedger(cfg.Now), running: newRunning(),
 		guard:  newStallGuard(cfg.Now),
 		intake: newIntake(cfg.LinkMbps, cfg.Now),
 		stop:   make(chan struct{}),
@@ -207,9 +204,6 @@
 	if loc == nil {
 		return nil, notRun(ReasonGone, 0)
 	}
-	if !a.Nested && !o.below.admits(a.Urgency) {
-		return nil, notRun(ReasonBelow, belowRetry)
-	}
 	if reason, ok := o.ledger.receive(a); !ok {
 		if reason == ReasonDuplicate {
 			return nil, unknown(ReasonDuplicate, errors.New("an earlier copy of this request was started"))
--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -126,7 +126,7 @@
 		return false
 	case len(t.upstreams) >= maxOwners:
 		return false
-	case r.Reason == ReasonOverload || r.Reason == ReasonLink || r.Reason == ReasonBelow:
+	case r.Reason == ReasonOverload || r.Reason == ReasonLink:
 		return len(t.upstreams) <= c.route.Policy.Retries && in.spend(in.refusals, c)
 	case !r.reached():
 		// An upstream that leaves or cannot be reached costs a call a hop,
--- a/internal/callpath/running.go
+++ b/internal/callpath/running.go
@@ -53,11 +53,3 @@
 		a.Urgency = urgency
 	}
 }
-
-// noteNested tells the owner what became of a call of its upstream. One whose
-// parent has gone says nothing.
-func (in *Ingress) noteNested(a *Attempt, r Result) {
-	if a.Nested && r.Reason != ReasonCancelled {
-		in.owner.below.note(a.Urgency, r.Outcome != Answered || failed(r))
-	}
-}
