Callers who come back are late by what they have waited

Cause: the objective of a call that came back after a refusal began anew, so it waited in the queue like one that could still be answered in time. Change: a caller gives a call that it brings back less time; the route's longest of late tells how much it has waited.

--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -60,14 +60,29 @@
 		Depth: depth + 1, Method: r.Method, URL: r.URL, Host: r.Host,
 		Header: stripped(r.Header), Body: body,
 	}
-	if objective := route.Policy.Objective; objective > 0 {
-		c.attempt.Objective = now.Add(objective)
-	}
 	in.nest(&c.attempt)
 	c.route = route
+	c.attempt.Objective = in.objective(&c, r, now)
 	return c, Result{}
 }
 
+// objective returns when the answer should be there, counted from when the caller
+// first asked: one that comes back after a refusal may be late already, and
+// those that can still be answered in time go before it. Zero: the route has no
+// objective.
+func (in *Ingress) objective(c *call, r *http.Request, now time.Time) time.Time {
+	policy := c.route.Policy
+	if policy.Objective == 0 {
+		return time.Time{}
+	}
+	at := now.Add(policy.Objective)
+	left, err := optionalInt(r.Header.Get(in.cfg.Dialect.Timeout), 0)
+	if err != nil || left == 0 || c.attempt.Nested {
+		return at // nested calls are given what their parents have left
+	}
+	return at.Add(-in.picker.waited(c.route.Name, time.Duration(left)*time.Millisecond, policy.Timeout))
+}
+
 // maxBody returns the bound on a request's body, in bytes.
 func (in *Ingress) maxBody(v *view.View) int64 {
 	if v.Limits.BodyBytes > 0 {
--- a/internal/callpath/routestats.go
+++ b/internal/callpath/routestats.go
@@ -10,6 +10,12 @@
 	routeWeight = 0.1
 	// firstSize is the size of an answer, in bytes, before one was seen.
 	firstSize = 2000
+	// longestWeight is how fast the longest time that callers of a route give
+	// is forgotten, by each call that is given less.
+	longestWeight = 0.01
+	// longestFactor bounds that time as a multiple of the route's timeout, so
+	// that a caller with endless patience does not make all others look late.
+	longestFactor = 3
 	// routesMax bounds the routes whose means are kept.
 	routesMax = 10_000
 )
@@ -18,30 +24,58 @@
 type routeStats struct {
 	size float64
 	took float64
+	// longest is the longest time that a caller gave a call, of late.
+	longest float64
+	// answers is whether size and took were measured.
+	answers bool
 }
 
 // routeTable holds the means by route. Its owner's mutex guards it.
 type routeTable map[string]*routeStats
 
-// note takes in one answer.
-func (t routeTable) note(route string, size int, took time.Duration) {
+// of returns the means of a route.
+func (t routeTable) of(route string) *routeStats {
 	r := t[route]
 	if r == nil {
 		if len(t) >= routesMax {
 			clear(t)
 		}
-		t[route] = &routeStats{size: float64(size), took: float64(took)}
+		r = &routeStats{}
+		t[route] = r
+	}
+	return r
+}
+
+// note takes in one answer.
+func (t routeTable) note(route string, size int, took time.Duration) {
+	r := t.of(route)
+	if !r.answers {
+		r.size, r.took, r.answers = float64(size), float64(took), true
 		return
 	}
 	r.size += routeWeight * (float64(size) - r.size)
 	r.took += routeWeight * (float64(took) - r.took)
 }
 
+// waited returns how long a caller has probably waited already: callers give a
+// call less time when they come back with it.
+func (t routeTable) waited(route string, left, timeout time.Duration) time.Duration {
+	r := t.of(route)
+	given := float64(min(left, longestFactor*timeout))
+	if given >= r.longest {
+		r.longest = given
+		return 0
+	}
+	waited := r.longest - given
+	r.longest -= longestWeight * waited
+	return time.Duration(waited)
+}
+
 // expect returns what a call of the route with this body moves, in bytes, and
 // how long it takes; before the first answer, a quarter of its objective.
 func (t routeTable) expect(route string, body int, objective time.Duration) (bytes int, took time.Duration) {
 	r := t[route]
-	if r == nil {
+	if r == nil || !r.answers {
 		return headerBytes + body + firstSize, objective / 4
 	}
 	return headerBytes + body + int(r.size), time.Duration(r.took)
@@ -60,3 +94,10 @@
 	defer p.mu.Unlock()
 	p.routes.note(route, size, took)
 }
+
+// waited returns how long a caller with so much time left has probably waited.
+func (p *picker) waited(route string, left, timeout time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.routes.waited(route, left, timeout)
+}
