--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -31,9 +31,9 @@
 	ownerIdle = 60 * time.Second
 	// ownerUnacked is how long what was sent to an owner may stay
 	// unacknowledged. A VM that is cut off or has no power answers nothing,
-	// and calls to it would wait until their deadline. It leaves time to send
-	// a lost packet twice more, at the 200 ms after which systems do so first.
-	ownerUnacked = 600 * time.Millisecond
+	// and calls to it would wait until their deadline. Links of 5 Mbit/s under
+	// load were seen to hold packets for half a second.
+	ownerUnacked = time.Second
 	// ownersKeep is how many owners' connections are kept open.
 	ownersKeep = 2048
 )
@@ -209,7 +209,9 @@
 }
 
 // inquire asks the owner over fresh connections whether an attempt without an
-// answer is in work there, and cancels it if its connection is silent.
+// answer is in work there, and cancels it if its connection is silent. Where the
+// owner cannot be asked, a call that may be repeated is better sent elsewhere;
+// one that may not has nothing to gain, and its answer may still come.
 func (r *remote) inquire(ctx context.Context, cancel context.CancelCauseFunc, u view.Upstream, a *Attempt, every time.Duration) {
 	misses := 0
 	for misses < askTries && ctx.Err() == nil {
@@ -221,7 +223,7 @@
 		case err == nil && (state == Unseen || state == Voided):
 			misses = askTries
 			continue
-		default:
+		case a.Repeatable:
 			misses++
 			next = askAgain
 		}
