--- a/itest/soak/faults.go
+++ b/itest/soak/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -37,8 +36,6 @@
 	changes int
 	// version is the newest that was accepted.
 	version int64
-	// ends undo faults.
-	stopping sync.WaitGroup
 }
 
 // begin injects a fault and returns what ends it; nil: it could not strike now.
