--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -250,14 +250,14 @@
 // bytesPerMB converts the setting's unit.
 const bytesPerMB = 1e6
 
-// patience is the part of a policy's timeout that an answer should take if
-// the policy has no objective.
-const patience = 4
+// assumedObjective is the part of a policy's timeout that an answer should take
+// if the policy has no objective.
+const assumedObjective = 4
 
 func (in *Ingress) need(c *call, tried []string) need {
 	objective := c.route.Policy.Objective
 	if objective == 0 {
-		objective = c.route.Policy.Timeout / patience
+		objective = c.route.Policy.Timeout / assumedObjective
 	}
 	n := need{urgency: c.attempt.Urgency, objective: objective, body: len(c.attempt.Body), tried: tried}
 	n.bytes, n.took = in.picker.expect(c.route.Name, len(c.attempt.Body), objective)
