Nothing starts for callers who have gone, though nobody had the time to notice

Ruled out: cancellation itself (TestDeadlinesAndCancellationsReachTheUpstream). Change: before an attempt is sent on or started the connection is looked at, one system call. Lines of calls say whether they are nested. Test: TestNothingStartsForCallersWhoHaveGone (fails with the look taken out).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -234,7 +234,7 @@
 func (a *Agent) serve(ln net.Listener, h http.Handler) {
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
-		MaxHeaderBytes: a.settings.Calls.MaxHeader,
+		MaxHeaderBytes: a.settings.Calls.MaxHeader, ConnContext: callpath.WithConn,
 	}
 	a.servers = append(a.servers, srv)
 	a.goRun(func() {
--- a/internal/callpath/log.go
+++ b/internal/callpath/log.go
@@ -56,6 +56,9 @@
 		e = e.Str("route", c.route.Name).Str("urgency", c.attempt.Urgency.String()).
 			Int64("left_ms", c.attempt.Deadline.Sub(in.cfg.Now()).Milliseconds())
 	}
+	if c.attempt.Nested {
+		e = e.Bool("nested", true)
+	}
 	if c.service != nil {
 		e = e.Str("service", c.service.Name).Int("upstreams", len(c.service.Upstreams))
 	}
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -178,10 +178,10 @@
 		o.ledger.abandon(a.ID)
 		return o.refused(a, o.withLoad(notRun(reason, after), loc))
 	}
-	if o.guard.stalls() != stalls || o.guard.stalled() || !o.cfg.Now().Before(a.Deadline) {
+	if reason := o.tooLate(ctx, a, stalls); reason != "" {
 		loc.gate.release(0)
 		o.ledger.abandon(a.ID)
-		return o.refused(a, notRun(ReasonStalled, 0))
+		return o.refused(a, notRun(reason, 0))
 	}
 	if !o.ledger.start(a.ID) {
 		loc.gate.release(0)
@@ -190,6 +190,18 @@
 	return o.run(ctx, loc, a)
 }
 
+// tooLate says why an attempt that has a slot must not start any more, or
+// nothing.
+func (o *Owner) tooLate(ctx context.Context, a *Attempt, stalls int64) Reason {
+	switch {
+	case o.guard.stalls() != stalls || o.guard.stalled() || !o.cfg.Now().Before(a.Deadline):
+		return ReasonStalled
+	case callerGone(ctx):
+		return ReasonCancelled
+	}
+	return ""
+}
+
 // accept enters the attempt in the ledger, or says why it may not run here.
 func (o *Owner) accept(a *Attempt) (*local, Result) {
 	if o.guard.stalled() {
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -94,6 +94,9 @@
 
 // carry sends an attempt to the upstream's owner and waits for its result.
 func (r *remote) carry(ctx context.Context, u view.Upstream, a *Attempt) Result {
+	if callerGone(ctx) {
+		return notRun(ReasonCancelled, 0)
+	}
 	p := r.pool(u.Owner)
 	ctx, cancel := context.WithCancelCause(ctx)
 	every := r.patience(a)
