Sight: which request an attempt was of, and whether its upstream ended

Cause: a call that got no answer because its upstream's process ended looked like one whose connection broke, and copies of a request could not be told from other calls, since each has an id of its own. Change: reason upstream-ended where the upstream takes no connections any more (an idle connection that is still open tells that it does, at no cost); a line at each end; the request's digest on the lines run, retry and refuse; counters.

--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 )
 
 // Headers between callers and daemons.
@@ -103,6 +104,11 @@
 	return a.ID[:max(0, strings.LastIndexByte(a.ID, '-'))]
 }
 
+// digest stands for all copies of the attempt's request.
+func (a *Attempt) digest() suspect.Digest {
+	return suspect.Of(a.Caller, a.Method, a.Host, a.URL.RequestURI(), a.Body)
+}
+
 // permille converts a share for a header.
 const permille = 1000
 
--- /dev/null
+++ b/internal/callpath/ended_test.go
@@ -0,0 +1,56 @@
+package callpath
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreygate/comfreygate/internal/outcome"
+)
+
+// TestAnEndIsToldFromABrokenConnection breaks one connection of an upstream that is
+// there, and then ends it with calls in flight: an operator reads from the reason which
+// of the two it was, and the end counts once.
+func TestAnEndIsToldFromABrokenConnection(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 8, time.Second)
+	w := r.workers[0]
+	reasons := make(chan string, 8)
+	send := func() {
+		req, err := http.NewRequest(http.MethodPost, r.srv.URL+"/normal", nil)
+		is.NoErr(err)
+		req.Header.Set(HeaderCaller, "c")
+		res, err := r.client.Do(req)
+		if err != nil {
+			reasons <- err.Error()
+			return
+		}
+		res.Body.Close()
+		reasons <- res.Header.Get(HeaderReason)
+	}
+	running := func(n int64) {
+		for w.now.Load() != n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	go send()
+	running(1)
+	w.up.CloseClientConnections()
+	is.Equal(<-reasons, string(outcome.ReasonBroken))
+	is.Equal(r.metrics.Ends.Count(), int64(0))
+	running(0)
+	const n = 4
+	for range n {
+		go send()
+	}
+	running(n)
+	is.NoErr(w.up.Listener.Close())
+	w.up.CloseClientConnections()
+	for range n {
+		is.Equal(<-reasons, string(outcome.ReasonEnded))
+	}
+	is.Equal(r.metrics.Ends.Count(), int64(1))
+	is.Equal(r.metrics.Ended.Count(), int64(n))
+}
--- a/internal/callpath/log.go
+++ b/internal/callpath/log.go
@@ -55,7 +55,7 @@
 		Uint64("version", in.view.Load().Version)
 	if c.route != nil {
 		e = e.Str("route", c.route.Name).Str("urgency", c.attempt.Urgency.String()).
-			Int64("left_ms", c.attempt.Deadline.Sub(in.cfg.Now()).Milliseconds())
+			Int64("left_ms", c.attempt.Deadline.Sub(in.cfg.Now()).Milliseconds()).Stringer("digest", c.attempt.digest())
 	}
 	if c.attempt.Nested {
 		e = e.Bool("nested", true)
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -25,6 +25,9 @@
 	// Started and Refused count attempts at the owner.
 	Started metrics.Counter
 	Refused metrics.Counter
+	// Ended counts attempts whose upstream ended under them, Ends the ends of upstreams.
+	Ended metrics.Counter
+	Ends  metrics.Counter
 	// Latency is the time of answered calls, in nanoseconds.
 	Latency metrics.Timer
 }
@@ -39,7 +42,8 @@
 		Unknown: counter("unknown"), Retries: counter("retries"), RetryDenied: counter("retries_denied"),
 		FoundRoom: counter("retries_found_room"),
 		Voided:    counter("voided"), Silent: counter("silent"), Started: counter("attempts_started"),
-		Refused: counter("attempts_refused"), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
+		Refused: counter("attempts_refused"), Ended: counter("upstream_ended"),
+		Ends: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
 	}
 }
 
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -72,6 +72,7 @@
 	// process names the upstream's process, or is empty.
 	process string
 	pool    *pool
+	ending  ending
 }
 
 // NewOwner returns an owner without upstreams. Close ends it.
@@ -287,22 +288,40 @@
 	}
 	loc.gate.Release(o.cfg.Now().Sub(began))
 	o.ledger.finish(a.ID)
-	o.logUnknown(loc, a, began, err)
 	if ctx.Err() != nil {
+		o.logUnknown(loc, a, began, outcome.CancelReason(ctx), err)
 		return outcome.Unsure(outcome.CancelReason(ctx), err)
 	}
+	reason := o.whyBroken(ctx, loc, a)
+	o.logUnknown(loc, a, began, reason, err)
 	loc.pool.closeIdle()
-	return outcome.Unsure(outcome.ReasonBroken, err)
+	return outcome.Unsure(reason, err)
+}
+
+// whyBroken tells whether the upstream has ended under an attempt, or only a connection
+// broke.
+func (o *Owner) whyBroken(ctx context.Context, loc *local, a *Attempt) outcome.Reason {
+	end, first := loc.ending.seen(ctx, loc.pool, o.cfg.Now)
+	if end == 0 {
+		return outcome.ReasonBroken
+	}
+	o.cfg.Metrics.Ended.Inc(1)
+	if first {
+		o.cfg.Metrics.Ends.Inc(1)
+		o.cfg.Logger.Warn().Str("step", "upstream-ended").Str("peer", a.Upstream).Uint64("end", end).
+			Int("in_flight", loc.gate.Load().InFlight).Msg("its process takes no connections any more")
+	}
+	return outcome.ReasonEnded
 }
 
 // logUnknown says why nobody can tell whether an attempt has run.
-func (o *Owner) logUnknown(loc *local, a *Attempt, began time.Time, err error) {
+func (o *Owner) logUnknown(loc *local, a *Attempt, began time.Time, reason outcome.Reason, err error) {
 	if !mayLog(o.cfg.Logger, &o.lines, o.cfg.Now(), "run") {
 		return
 	}
 	l := loc.gate.Load()
-	o.cfg.Logger.Info().Str("step", "run").Str("request", a.Request).Str("peer", a.Upstream).
-		Str("outcome", string(outcome.Unknown)).Int64("took_ms", o.cfg.Now().Sub(began).Milliseconds()).
+	o.cfg.Logger.Info().Str("step", "run").Str("request", a.Request).Stringer("digest", a.digest()).Str("peer", a.Upstream).
+		Str("outcome", string(outcome.Unknown)).Str("reason", string(reason)).Int64("took_ms", o.cfg.Now().Sub(began).Milliseconds()).
 		Int64("left_ms", a.Deadline.Sub(o.cfg.Now()).Milliseconds()).Int("in_flight", l.InFlight).Int("queued", l.Queued).
 		Err(err).Msg("attempt ended without an answer")
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -50,6 +50,8 @@
 	ReasonStalled   Reason = "daemon-stalled"
 	ReasonDuplicate Reason = "duplicate"
 	ReasonBroken    Reason = "connection-broken"
+	// ReasonEnded: the upstream's process ended while the request ran there.
+	ReasonEnded     Reason = "upstream-ended"
 	ReasonCancelled Reason = "cancelled"
 )
 
