--- a/itest/cmd/upstreamd/main.go
+++ b/itest/cmd/upstreamd/main.go
@@ -27,6 +27,8 @@
 	id      string
 	// delay is added to every answer, in milliseconds.
 	delay atomic.Int64
+	// crashed is told of each crash that a request brought about.
+	crashed chan struct{}
 }
 
 func main() {
@@ -36,23 +38,23 @@
 	slots := flag.Int("slots", 8, "calls it runs at once")
 	delay := flag.Int64("delay-ms", 0, "time each call takes")
 	journal := flag.String("journal", "", "file to append a line to for every run")
+	back := flag.Int64("back-ms", 400, "how long it is gone after a crash")
 	flag.Parse()
 	f, err := os.OpenFile(*journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	fail(err)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	fail(err)
-	u := &upstream{journal: f, id: *id}
+	u := &upstream{journal: f, id: *id, crashed: make(chan struct{}, 1)}
 	u.delay.Store(*delay)
-	srv := &http.Server{Handler: u}
-	go srv.Serve(ln)
-	fmt.Println(ln.Addr())
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM)
-	n := agent.Announcement{
-		ID: *id, Life: strconv.FormatInt(time.Now().UnixNano(), 10), Service: *service, Addr: ln.Addr().String(),
-		Slots: *slots, Connections: 10 * *slots,
+	n := agent.Announcement{ID: *id, Service: *service, Slots: *slots, Connections: 10 * *slots}
+	srv := u.start(&n)
+	for announceUntil(*daemon, n, stop, u.crashed) {
+		// All of a process's connections and its listener end with it.
+		srv.Close()
+		fmt.Fprintf(u.journal, "end - %s\n", u.id)
+		time.Sleep(time.Duration(*back) * time.Millisecond)
+		srv = u.start(&n)
 	}
-	announceUntil(*daemon, n, stop)
 	leave(*daemon, *id)
 	// Work that the owner admitted before it heard of the leaving arrives
 	// within this time.
@@ -60,6 +62,18 @@
 	fail(srv.Shutdown(context.Background()))
 }
 
+// start begins a life of the upstream, at an address of its own.
+func (u *upstream) start(n *agent.Announcement) *http.Server {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	fail(err)
+	srv := &http.Server{Handler: u}
+	go srv.Serve(ln)
+	fmt.Println(ln.Addr())
+	n.Life = strconv.FormatInt(time.Now().UnixNano(), 10)
+	n.Addr = ln.Addr().String()
+	return srv
+}
+
 func fail(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -67,7 +81,8 @@
 	}
 }
 
-func announceUntil(daemon string, n agent.Announcement, stop <-chan os.Signal) {
+// announceUntil announces the upstream until it stops, or crashes.
+func announceUntil(daemon string, n agent.Announcement, stop <-chan os.Signal, crash <-chan struct{}) (crashed bool) {
 	body, err := json.Marshal(n)
 	fail(err)
 	ticker := time.NewTicker(200 * time.Millisecond)
@@ -80,7 +95,9 @@
 		select {
 		case <-ticker.C:
 		case <-stop:
-			return
+			return false
+		case <-crash:
+			return true
 		}
 	}
 }
@@ -94,8 +111,9 @@
 }
 
 // ServeHTTP runs a request: "run ID" is journaled, then the body is echoed
-// with the request's ID in front. Parameters: delay_ms, and cut to break the
-// connection in mid-answer, of an answer of unknown length if it is "chunked".
+// with the request's ID in front. Parameters: delay_ms; crash_ms to end the whole
+// upstream after that time; cut to break the connection in mid-answer, of an answer of
+// unknown length if it is "chunked".
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/.delay" {
 		ms, _ := strconv.ParseInt(r.URL.Query().Get("ms"), 10, 64)
@@ -108,6 +126,12 @@
 	}
 	request := r.Header.Get("Comfrey-Request-Id")
 	fmt.Fprintf(u.journal, "run %s %s\n", request, u.id)
+	if crash := r.URL.Query().Get("crash_ms"); crash != "" {
+		ms, _ := strconv.ParseInt(crash, 10, 64)
+		time.AfterFunc(time.Duration(ms)*time.Millisecond, u.crash)
+		<-r.Context().Done()
+		return
+	}
 	ms, _ := strconv.ParseInt(r.URL.Query().Get("delay_ms"), 10, 64)
 	timer := time.NewTimer(time.Duration(ms+u.delay.Load()) * time.Millisecond)
 	defer timer.Stop()
@@ -130,3 +154,11 @@
 	}
 	w.Write(answer)
 }
+
+// crash ends this life of the upstream. Of several at once the first counts.
+func (u *upstream) crash() {
+	select {
+	case u.crashed <- struct{}{}:
+	default:
+	}
+}
