Requests under which three upstreams have ended are run no more, anywhere

Cause: what became of a request was known for one call, at one daemon, and forgotten with it. Copies under other IDs, at other VMs or after a restart were new calls, so each ended an upstream; where the call may be repeated the daemon itself took the next one. Its class: the failure of one attempt is taken for a failure of the upstream, and tried again elsewhere as if independent of the first. Change: a table of suspects in each daemon, by digest of caller, method, host, path, query and body. The owner charges what ran at an upstream that ended; an answer clears it. With two ends a request goes to one upstream of all and runs beside no other such; with three it is refused at once as not run. News go along the daemons' connections without a window, with the attempts themselves, and to the store, where daemons find them that are cut off from the others or start when all have ended. Ruled out: keeping it at the daemon that saw the end (copies come at any VM); the store alone (gossip is faster, and lasts through its outages); no repeats after an end (those beside would be served worse, and copies come anyhow).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/peer"
 	"github.com/comfreygate/comfreygate/internal/settings"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/system"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -65,6 +66,9 @@
 	events   *event.Ring
 
 	world *table.World
+	// suspects is shared by the tables and the call path.
+	suspects   *suspect.Table
+	quarantine quarantineReader
 	// view is the one in force. Only the loop uses it.
 	view      *view.View
 	transport *peer.Transport
@@ -79,10 +83,12 @@
 	inputs   chan system.Input
 	commands commandTable
 	reading  atomic.Bool
-	stop     context.Context
-	end      context.CancelFunc
-	running  sync.WaitGroup
-	killed   sync.Once
+	// readingQuarantine is set while a read of quarantined requests waits at the store.
+	readingQuarantine atomic.Bool
+	stop              context.Context
+	end               context.CancelFunc
+	running           sync.WaitGroup
+	killed            sync.Once
 }
 
 // listeners are the daemon's open listeners.
@@ -122,19 +128,21 @@
 	a.self = a.member(now)
 	params := s.Params()
 	params.Documents = opts.Source != nil
-	a.world = table.New(a.self, params, now, seed)
+	a.suspects = suspect.NewTable(time.Now)
+	a.quarantine = quarantineReader{log: opts.Log, logger: opts.Logger}
+	a.world = table.New(a.self, params, a.suspects, now, seed)
 	a.transport = peer.New(a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
 	m := callpath.NewMetrics(a.metrics)
 	a.owner = callpath.NewOwner(callpath.OwnerConfig{
 		Incarnation: a.world.Self.Incarnation, QueueFactor: s.Calls.QueueFactor,
 		ConnectTimeout: time.Duration(s.Calls.ConnectTimeout), IdleTimeout: time.Duration(s.Calls.UpstreamIdle),
-		LinkMbps: s.Calls.LinkMbps, Events: a.events, Metrics: m, Dialect: opts.Dialect, Logger: opts.Logger, Now: time.Now,
+		LinkMbps: s.Calls.LinkMbps, Suspects: a.suspects, Events: a.events, Metrics: m, Dialect: opts.Dialect, Logger: opts.Logger, Now: time.Now,
 	})
 	a.ingress = callpath.NewIngress(callpath.IngressConfig{
 		VM: s.VM, Domain: s.FailureDomain, Caller: s.Platform.Service, MaxBody: s.Calls.MaxBody,
 		ConnectTimeout: time.Duration(s.Calls.ConnectTimeout), Source: s.Listen.SourceAddr(), InquireAfter: time.Duration(s.Calls.InquireAfter),
 		RetryRatio: s.Calls.RetryRatio, RetryBurst: s.Calls.RetryBurst, CrossDomainCost: s.Calls.CrossDomainCost,
-		Events: a.events, Metrics: m, Logger: opts.Logger, Dialect: opts.Dialect, Now: time.Now, Seed: seed,
+		Suspects: a.suspects, Events: a.events, Metrics: m, Logger: opts.Logger, Dialect: opts.Dialect, Now: time.Now, Seed: seed,
 	}, a.owner)
 	return a, nil
 }
@@ -210,6 +218,7 @@
 func (a *Agent) Start(admin http.Handler) {
 	a.events.Add(event.Event{Kind: event.Started})
 	a.goRun(a.loop)
+	a.goRun(a.watchSuspects)
 	a.goRun(func() { a.transport.Serve(a.listeners.peers) })
 	a.serve(a.listeners.callers, a.ingress)
 	a.serve(a.listeners.owner, a.owner)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -139,6 +139,7 @@
 	}
 	a.commands.settle(a.world.Config.State)
 	a.useLog(out)
+	a.useQuarantine(out)
 }
 
 // note keeps an event and logs the ones an operator should see.
@@ -148,7 +149,7 @@
 	switch e.Kind {
 	case event.Alarm:
 		level = a.logger.Error()
-	case event.LogDown, event.LinkLost, event.UpstreamGone:
+	case event.LogDown, event.LinkLost, event.UpstreamGone, event.Quarantined:
 		level = a.logger.Warn()
 	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining,
 		event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged:
--- /dev/null
+++ b/internal/agent/quarantine.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/comfreygate/comfreygate/internal/suspect"
+	"github.com/comfreygate/comfreygate/internal/system"
+	"github.com/comfreygate/comfreygate/platform/store"
+)
+
+const (
+	// quarantineWait is how long a read waits at the store for a quarantined request.
+	// News come from other daemons; only one that is cut off from all of them waits
+	// for the store, which wakes it at once. At two readers a failure domain, a read
+	// each ten seconds costs 0.04 % of what callers' requests are worth.
+	quarantineWait = 10 * time.Second
+	// quarantineRetry is the pause after a read that failed: the reads of the
+	// configuration tell soon enough that the store is back.
+	quarantineRetry = 2 * time.Second
+)
+
+// quarantineReader reads the store's records of quarantined requests. Only one goroutine
+// at a time may use it.
+type quarantineReader struct {
+	log    store.Log
+	logger zerolog.Logger
+	// from is the offset to read on from, once the newest records were read.
+	from    uint64
+	started bool
+}
+
+// next returns what the store holds: the first time all, then what is added, as soon as
+// it is or after quarantineWait.
+func (q *quarantineReader) next(ctx context.Context) system.QuarantineRead {
+	if !q.started {
+		return q.newest(ctx)
+	}
+	b, err := q.log.Read(ctx, store.Query{Topic: store.QuarantineTopic, From: q.from, Wait: quarantineWait})
+	if err != nil {
+		return system.QuarantineRead{Err: err}
+	}
+	if b.End < q.from || b.First > q.from {
+		return q.newest(ctx) // another log is in its place, or records have expired unread
+	}
+	for _, e := range b.Entries {
+		q.from = e.Offset + 1
+	}
+	return system.QuarantineRead{Records: q.decode(b.Entries)}
+}
+
+func (q *quarantineReader) newest(ctx context.Context) system.QuarantineRead {
+	n, err := q.log.Newest(ctx, store.QuarantineTopic)
+	if err != nil {
+		return system.QuarantineRead{Err: err}
+	}
+	q.from, q.started = n.End, true
+	return system.QuarantineRead{Records: q.decode(n.Entries), Whole: true}
+}
+
+// decode returns the records of entries. One that another writer left names no request;
+// the others hold. One without a value was dropped.
+func (q *quarantineReader) decode(entries []store.Entry) []suspect.Record {
+	var records []suspect.Record
+	foreign := 0
+	for _, e := range entries {
+		if len(e.Data) == 0 {
+			continue
+		}
+		var r suspect.Record
+		if json.Unmarshal(e.Data, &r) != nil || r.Digest.String() != e.Key || len(r.Ends) > suspect.Enough {
+			foreign++
+			continue
+		}
+		records = append(records, r)
+	}
+	if foreign > 0 {
+		q.logger.Warn().Str("step", "read quarantine").Int("records", foreign).Msg("no quarantined requests, left out")
+	}
+	return records
+}
+
+func (a *Agent) readQuarantine() {
+	r := a.quarantine.next(a.stop)
+	if r.Err != nil {
+		sleep(a.stop, quarantineRetry)
+	}
+	a.readingQuarantine.Store(false)
+	a.input(r)
+}
+
+// keepQuarantine leaves a record on the store. The tick that wanted it asks again if it
+// is not read back.
+func (a *Agent) keepQuarantine(r suspect.Record) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		a.logger.Error().Str("step", "keep quarantine").Err(err).Msg("not kept")
+		return
+	}
+	a.writeQuarantine(r.Digest, data)
+}
+
+// writeQuarantine writes the record of a request; without data it is dropped.
+func (a *Agent) writeQuarantine(d suspect.Digest, data []byte) {
+	// use has logged a failure.
+	_ = a.use("keep quarantine", func(ctx context.Context) error {
+		return a.log.AppendKeyed(ctx, store.QuarantineTopic, d.String(), data)
+	})
+}
+
+// useQuarantine does what a tick wants of the store's records.
+func (a *Agent) useQuarantine(out system.Outbox) {
+	if out.ReadQuarantine && a.readingQuarantine.CompareAndSwap(false, true) {
+		go a.readQuarantine()
+	}
+	for _, r := range out.KeepQuarantine {
+		go a.keepQuarantine(r)
+	}
+	for _, d := range out.DropQuarantine {
+		go a.writeQuarantine(d, nil)
+	}
+}
+
+// watchSuspects lets a tick follow each change that the call path makes.
+func (a *Agent) watchSuspects() {
+	for {
+		select {
+		case <-a.suspects.Changed():
+			a.input(system.Suspected{})
+		case <-a.stop.Done():
+			return
+		}
+	}
+}
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -54,6 +54,11 @@
 	// microseconds; it may be negative.
 	headerObjective = "Comfrey-Objective-Us"
 	headerLoad      = "Comfrey-Load"
+	// headerAnyHost is present on attempts of routes that take requests for any host.
+	headerAnyHost = "Comfrey-Any-Host"
+	// headerSuspect holds the suspect.Record of a request under which an upstream has
+	// ended, both ways.
+	headerSuspect = "Comfrey-Suspect"
 	// headerClock carries the sender's clock, so that on the merged time line
 	// what an ingress did stands before what it caused at an owner.
 	headerClock = "Comfrey-Clock"
@@ -92,10 +97,15 @@
 	Depth  int
 	Method string
 	// URL holds the path and query.
-	URL    *url.URL
-	Host   string
-	Header http.Header
-	Body   []byte
+	URL  *url.URL
+	Host string
+	// AnyHost says that the route takes requests for any host: Host is then only where
+	// the caller found a daemon.
+	AnyHost bool
+	Header  http.Header
+	Body    []byte
+	// known is the request's digest once somebody has asked for it.
+	known suspect.Digest
 }
 
 // life names the process that sent the attempt: its IDs are that name, a dash and a
@@ -106,7 +116,14 @@
 
 // digest stands for all copies of the attempt's request.
 func (a *Attempt) digest() suspect.Digest {
-	return suspect.Of(a.Caller, a.Method, a.Host, a.URL.RequestURI(), a.Body)
+	if a.known == 0 {
+		host := a.Host
+		if a.AnyHost {
+			host = ""
+		}
+		a.known = suspect.Of(a.Caller, a.Method, host, a.URL.RequestURI(), a.Body)
+	}
+	return a.known
 }
 
 // permille converts a share for a header.
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/pick"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -47,11 +48,13 @@
 	// CrossDomainCost is what a megabyte between failure domains costs as a
 	// multiple of a call's worth.
 	CrossDomainCost float64
-	Events          *event.Ring
-	Metrics         *Metrics
-	Logger          zerolog.Logger
-	Now             func() time.Time
-	Seed            uint64
+	// Suspects is the daemon's one table of them. Nil: this ingress has its own.
+	Suspects *suspect.Table
+	Events   *event.Ring
+	Metrics  *Metrics
+	Logger   zerolog.Logger
+	Now      func() time.Time
+	Seed     uint64
 }
 
 // Ingress takes calls in. Safe for concurrent use.
@@ -92,6 +95,9 @@
 // NewIngress returns an ingress that refuses calls until its first view.
 // Attempts at upstreams on this VM go to owner directly.
 func NewIngress(cfg IngressConfig, owner *Owner) *Ingress {
+	if cfg.Suspects == nil {
+		cfg.Suspects = suspect.NewTable(cfg.Now)
+	}
 	in := &Ingress{
 		cfg: cfg, owner: owner,
 		remote:   newRemote(&net.Dialer{Timeout: cfg.ConnectTimeout, LocalAddr: cfg.Source}, cfg.InquireAfter, cfg.Events, cfg.Metrics),
@@ -102,6 +108,7 @@
 		life:     uuid.NewString(),
 	}
 	in.remote.lost = in.avoidOwner
+	in.remote.suspects = cfg.Suspects
 	in.view.Store(&view.View{})
 	in.stop, in.end = context.WithCancel(context.Background())
 	in.hurry, in.hurryUp = context.WithCancel(context.Background())
@@ -222,6 +229,10 @@
 		if !in.cfg.Now().Before(c.attempt.Deadline) {
 			return in.outOfTime(t)
 		}
+		if endsUnder(in.cfg.Suspects, &c.attempt) >= suspect.Enough {
+			in.cfg.Metrics.Quarantined.Inc(1)
+			return t.exhausted(quarantined())
+		}
 		u, refusal, ok := in.next(c, t.upstreams)
 		if !ok {
 			return t.exhausted(refusal)
@@ -253,7 +264,11 @@
 // that its owner sees every copy.
 func (in *Ingress) next(c *call, tried []string) (view.Upstream, outcome.Result, bool) {
 	if c.attempt.Key == "" {
-		return in.picker.Pick(c.service, in.need(c, tried))
+		s := c.service
+		if endsUnder(in.cfg.Suspects, &c.attempt) == stepFrom {
+			s = home(s, &c.attempt, tried)
+		}
+		return in.picker.Pick(s, in.need(c, tried))
 	}
 	if len(tried) > 0 {
 		// Another upstream could not know of copies sent to the first.
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -28,6 +28,8 @@
 	// Ended counts attempts whose upstream ended under them, Ends the ends of upstreams.
 	Ended metrics.Counter
 	Ends  metrics.Counter
+	// Quarantined counts the calls refused because upstreams have ended under them.
+	Quarantined metrics.Counter
 	// Latency is the time of answered calls, in nanoseconds.
 	Latency metrics.Timer
 }
@@ -43,7 +45,7 @@
 		FoundRoom: counter("retries_found_room"),
 		Voided:    counter("voided"), Silent: counter("silent"), Started: counter("attempts_started"),
 		Refused: counter("attempts_refused"), Ended: counter("upstream_ended"),
-		Ends: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
+		Quarantined: counter("quarantined"), Ends: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
 	}
 }
 
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -18,6 +18,7 @@
 	"github.com/comfreygate/comfreygate/internal/admission"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
@@ -36,6 +37,8 @@
 	IdleTimeout time.Duration
 	// LinkMbps is the VM's own link, in Mbit/s; zero: it has no bound.
 	LinkMbps float64
+	// Suspects is the daemon's one table of them. Nil: this owner has its own.
+	Suspects *suspect.Table
 	Dialect  Dialect
 	Logger   zerolog.Logger
 	Events   *event.Ring
@@ -73,10 +76,14 @@
 	process string
 	pool    *pool
 	ending  ending
+	alone   alone
 }
 
 // NewOwner returns an owner without upstreams. Close ends it.
 func NewOwner(cfg OwnerConfig) *Owner {
+	if cfg.Suspects == nil {
+		cfg.Suspects = suspect.NewTable(cfg.Now)
+	}
 	o := &Owner{
 		cfg:    cfg,
 		ledger: newLedger(cfg.Now), running: newRunning(),
@@ -179,6 +186,10 @@
 // admit waits for a slot and runs an attempt that was accepted when the process
 // had stalled so many times.
 func (o *Owner) admit(ctx context.Context, loc *local, a *Attempt, stalls int64) outcome.Result {
+	if endsUnder(o.cfg.Suspects, a) >= suspect.Enough {
+		o.ledger.abandon(a.ID)
+		return o.refused(a, quarantined())
+	}
 	reason, after := loc.gate.Acquire(ctx, askOf(a))
 	if reason != "" {
 		o.ledger.abandon(a.ID)
@@ -189,6 +200,15 @@
 		o.ledger.abandon(a.ID)
 		return o.refused(a, outcome.Refuse(reason, 0))
 	}
+	reason, entered := o.heldBack(loc, a)
+	if entered {
+		defer loc.alone.leave()
+	}
+	if reason != "" {
+		loc.gate.Release(0)
+		o.ledger.abandon(a.ID)
+		return o.refused(a, o.withLoad(outcome.Refuse(reason, outcome.MinRetryAfter), loc))
+	}
 	if !o.ledger.start(a.ID) {
 		loc.gate.Release(0)
 		return o.refused(a, outcome.Refuse(outcome.ReasonVoided, 0))
@@ -260,7 +280,7 @@
 		o.ledger.abandon(a.ID)
 		return o.refused(a, o.withLoad(r, loc))
 	}
-	body := &answerBody{ReadCloser: res.Body, done: func() {
+	body := &answerBody{ReadCloser: res.Body, read: func(err error) { o.noteRead(ctx, loc, a, res.StatusCode, err) }, done: func() {
 		loc.gate.Release(o.cfg.Now().Sub(began))
 		o.ledger.finish(a.ID)
 	}}
@@ -306,6 +326,7 @@
 		return outcome.ReasonBroken
 	}
 	o.cfg.Metrics.Ended.Inc(1)
+	o.charge(a, end)
 	if first {
 		o.cfg.Metrics.Ends.Inc(1)
 		o.cfg.Logger.Warn().Str("step", "upstream-ended").Str("peer", a.Upstream).Uint64("end", end).
@@ -357,12 +378,35 @@
 	return req
 }
 
+// noteRead takes note of how the reading of an answer has ended.
+func (o *Owner) noteRead(ctx context.Context, loc *local, a *Attempt, status int, err error) {
+	switch {
+	case err == io.EOF:
+		o.answered(a, status)
+	case ctx.Err() == nil:
+		o.whyBroken(ctx, loc, a)
+	}
+}
+
 // answerBody returns an attempt's slot once its answer was passed on or given
 // up.
 type answerBody struct {
 	io.ReadCloser
 	once sync.Once
 	done func()
+	// read is told once of the error that the reading ended with, io.EOF included, or
+	// is nil.
+	read func(error)
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && b.read != nil {
+		b.read(err)
+		b.read = nil
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -74,6 +74,7 @@
 		o.writeResult(w, outcome.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonBadRequest, Err: err})
 		return
 	}
+	hearSuspect(r.Header, o.cfg.Suspects)
 	o.takeOffTransit(r.Header, a)
 	if a.Nested {
 		a.Lot = o.cfg.Dialect.lot(a.Request)
@@ -86,7 +87,11 @@
 		o.writeResult(w, o.refused(a, outcome.Refuse(outcome.ReasonDraining, 0)))
 		return
 	}
-	o.writeResult(w, o.receive(r, a))
+	res := o.receive(r, a)
+	if res.Outcome != outcome.Answered {
+		tellSuspect(w.Header(), o.cfg.Suspects, a)
+	}
+	o.writeResult(w, res)
 }
 
 // takeOffTransit counts the time for which an attempt lay in queues on its way as
@@ -165,6 +170,7 @@
 		}
 	}
 	a.Repeated = h.Get(headerRepeated) != ""
+	a.AnyHost = h.Get(headerAnyHost) != ""
 	left, err := strconv.ParseInt(h.Get(headerLeft), 10, 64)
 	if err != nil {
 		return nil, errors.Wrap(err, headerLeft)
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -52,6 +53,8 @@
 	metrics      *Metrics
 	// lost is told of an owner that does not answer questions either.
 	lost func(view.Upstream)
+	// suspects is the daemon's one table of them.
+	suspects *suspect.Table
 	// hurry ends when attempts must end because the process does.
 	hurry context.Context
 	// asker opens a fresh connection for every question, so that a silent
@@ -142,6 +145,10 @@
 		h.Set(headerObjective, strconv.FormatInt(time.Until(a.Objective).Microseconds(), 10))
 	}
 	h.Set(HeaderDepth, strconv.Itoa(a.Depth))
+	if a.AnyHost {
+		h.Set(headerAnyHost, "1")
+	}
+	tellSuspect(h, r.suspects, a)
 	if len(a.Body) >= outcome.LongBody {
 		h.Set("Expect", expectContinue)
 	}
@@ -152,6 +159,7 @@
 // result reads the owner's word from the answer.
 func (r *remote) result(res *http.Response, cancel context.CancelCauseFunc) outcome.Result {
 	observeClock(res.Header, r.events)
+	hearSuspect(res.Header, r.suspects)
 	out := outcome.Result{Outcome: outcome.Kind(res.Header.Get(HeaderOutcome))}
 	out.Load, out.HasLoad = outcome.DecodeLoad(res.Header.Get(headerLoad))
 	if out.Outcome == outcome.Answered {
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -62,7 +62,7 @@
 	c.attempt = Attempt{
 		Request: c.attempt.Request, Caller: name, Urgency: route.Policy.Urgency, Deadline: now.Add(timeout),
 		Repeatable: route.Policy.MayRepeat(r.Method), Key: r.Header.Get(headerIdempotency),
-		Depth: depth + 1, Method: r.Method, URL: r.URL, Host: r.Host,
+		Depth: depth + 1, Method: r.Method, URL: r.URL, Host: r.Host, AnyHost: route.Host == "",
 		Header: stripped(r.Header), Body: body,
 	}
 	in.nest(&c.attempt)
--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -151,6 +151,8 @@
 		return false
 	case r.Outcome != outcome.NotRun && !c.attempt.Repeatable:
 		return false
+	case r.Reason == outcome.ReasonQuarantined:
+		return false
 	case r.Reason == outcome.ReasonDeadline || r.Reason == outcome.ReasonCancelled || r.Reason == outcome.ReasonDuplicate:
 		return false
 	case len(t.upstreams) >= maxOwners:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,6 +61,9 @@
 	RootChanged      Kind = "root-changed"
 	Alarm            Kind = "alarm"
 	DeltaRefused     Kind = "delta-refused"
+	Suspected        Kind = "suspected"
+	Quarantined      Kind = "quarantined"
+	Cleared          Kind = "cleared"
 	Started          Kind = "started"
 	Draining         Kind = "draining"
 )
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -44,7 +44,12 @@
 	// ReasonShed: the upstream itself refused the request.
 	ReasonShed Reason = "upstream-refused"
 	// ReasonMoved: another upstream has the address.
-	ReasonMoved     Reason = "upstream-moved"
+	ReasonMoved Reason = "upstream-moved"
+	// ReasonQuarantined: upstreams have ended under the request, which is run no more.
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonApart: another request under which upstreams have ended runs there, and the
+	// two must not run together.
+	ReasonApart     Reason = "kept-apart"
 	ReasonDeadline  Reason = "deadline"
 	ReasonVoided    Reason = "voided"
 	ReasonStalled   Reason = "daemon-stalled"
@@ -93,7 +98,13 @@
 
 // Full reports whether the owner had no room for the attempt.
 func (r Result) Full() bool {
-	return r.Outcome == NotRun && (r.Reason == ReasonOverload || r.Reason == ReasonLink)
+	return r.Outcome == NotRun && (r.Reason == ReasonOverload || r.Reason == ReasonLink || r.Reason == ReasonApart)
+}
+
+// OfRequest reports whether a refusal is for what is known of the request and tells
+// nothing of the upstream.
+func (r Result) OfRequest() bool {
+	return r.Outcome == NotRun && (r.Reason == ReasonQuarantined || r.Reason == ReasonApart)
 }
 
 // Away reports whether a refusal concerns all calls, however urgent.
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -101,6 +101,8 @@
 		st.loadAt = p.now()
 	}
 	switch {
+	case r.OfRequest():
+		// Others are as welcome there as before.
 	case r.Outcome == outcome.NotRun && r.Away():
 		st.avoid(config.MostUrgent, p.now().Add(awayRetry))
 	case r.Outcome == outcome.NotRun && r.RetryAfter > 0:
--- a/internal/suspect/digest.go
+++ b/internal/suspect/digest.go
@@ -11,23 +11,30 @@
 )
 
 // Digest stands for all copies of a request, whatever their IDs: those with the same
-// caller, method, host, path, query and body.
+// caller, method, host, path, query and body. The host is empty where routes take any.
 type Digest uint64
 
 // Of returns the digest of a request. It reads the body once, at about 10 GB/s.
 func Of(caller, method, host, uri string, body []byte) Digest {
 	h := xxhash.New()
 	for _, s := range []string{caller, method, host, uri} {
-		var n [8]byte
-		binary.BigEndian.PutUint64(n[:], uint64(len(s)))
 		// Writing to a hash never fails.
-		_, _ = h.Write(n[:])
+		_, _ = h.Write(numbers(uint64(len(s))))
 		_, _ = h.WriteString(s)
 	}
 	_, _ = h.Write(body)
 	return Digest(h.Sum64())
 }
 
+// numbers returns numbers as bytes to be hashed.
+func numbers(words ...uint64) []byte {
+	b := make([]byte, 0, 8*len(words))
+	for _, w := range words {
+		b = binary.BigEndian.AppendUint64(b, w)
+	}
+	return b
+}
+
 // String returns 16 hexadecimal digits, as in logs and messages.
 func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
 
--- /dev/null
+++ b/internal/suspect/table_test.go
@@ -0,0 +1,153 @@
+package suspect
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// clock is a clock that a test sets.
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time { return c.at }
+
+func newClock() *clock { return &clock{at: time.Unix(1_700_000_000, 0)} }
+
+func TestThreeEndsQuarantineAndAnAnswerClears(t *testing.T) {
+	is := is.New(t)
+	tab := NewTable(newClock().now)
+	is.True(!tab.Any())
+	for _, e := range []End{1, 1, 2} { // one end is one, however many copies it broke
+		tab.Charge(7, e)
+	}
+	is.Equal(tab.Ends(7), 2)
+	is.True(tab.Answered(7))
+	is.Equal(tab.Ends(7), 0)
+	is.True(!tab.Any())
+	is.True(!tab.Answered(7)) // nothing to clear
+	for _, e := range []End{3, 4} {
+		is.True(!tab.Charge(7, e).Quarantined()) // those before the answer do not count
+	}
+	is.True(tab.Charge(7, 5).Quarantined())
+	is.True(tab.Any())
+}
+
+// TestRecordsMergeAlikeInAnyOrder gives the same charges, answers and copies of records
+// to three tables in any order; once each has seen the others', all say the same.
+func TestRecordsMergeAlikeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newClock()
+		tabs := []*Table{NewTable(c.now), NewTable(c.now), NewTable(c.now)}
+		for range rapid.IntRange(1, 40).Draw(rt, "ops") {
+			tab := tabs[rapid.IntRange(0, 2).Draw(rt, "table")]
+			d := Digest(rapid.IntRange(1, 3).Draw(rt, "digest"))
+			switch rapid.IntRange(0, 2).Draw(rt, "op") {
+			case 0:
+				tab.Charge(d, End(rapid.IntRange(1, 6).Draw(rt, "end")))
+			case 1:
+				tab.Answered(d)
+			default:
+				share(tab, tabs[rapid.IntRange(0, 2).Draw(rt, "from")])
+			}
+		}
+		for range 2 { // what the last one knows must reach the first
+			for i, tab := range tabs {
+				share(tab, tabs[(i+1)%3])
+				share(tab, tabs[(i+2)%3])
+			}
+		}
+		for _, tab := range tabs[1:] {
+			if tab.Hash() != tabs[0].Hash() {
+				rt.Fatalf("%v and %v", tab.Records(), tabs[0].Records())
+			}
+		}
+		for _, tab := range tabs {
+			if suspected := slices.ContainsFunc(tab.Records(), func(r Record) bool { return len(r.Ends) > 0 }); suspected != tab.Any() {
+				rt.Fatalf("suspected %v: %v", suspected, tab.Records())
+			}
+		}
+	})
+}
+
+func share(to, from *Table) {
+	for _, r := range from.Records() {
+		to.Merge(r)
+	}
+}
+
+// TestTableIsBounded floods a table with requests under which one upstream has ended: it
+// keeps Most records, and of the request that is a step from quarantine what it knows.
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	tab := NewTable(c.now)
+	tab.Charge(1, 1)
+	tab.Charge(1, 2)
+	for i := range 5 * Most {
+		c.at = c.at.Add(time.Millisecond)
+		tab.Charge(Digest(i+2), 3)
+	}
+	is.Equal(len(tab.Records()), Most)
+	is.Equal(tab.Ends(1), 2)
+	is.Equal(int(tab.suspected.Load()), Most)
+}
+
+func TestRecordsExpireAndAreNotTakenInLate(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	tab := NewTable(c.now)
+	old := tab.Charge(1, 1)
+	c.at = c.at.Add(Keep + time.Second)
+	is.True(!tab.Merge(old)) // another daemon's copy does not bring it back
+	tab.Charge(2, 1)
+	is.Equal(tab.Ends(1), 0)
+	is.Equal(len(tab.Records()), 1)
+	is.True(tab.Merge(Record{Digest: 3, Ends: []End{1}, At: c.at.Add(2 * Keep).UnixMilli()}))
+	r, _ := tab.Record(3)
+	is.Equal(r.At, c.at.UnixMilli()) // a clock that runs ahead keeps nothing for longer
+}
+
+func TestForeignRecordsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	tab := NewTable(c.now)
+	is.True(!tab.Merge(Record{}))
+	is.True(!tab.Merge(Record{Digest: 1, Ends: []End{1, 2, 3, 4}, At: c.at.UnixMilli()}))
+	is.Equal(len(tab.Records()), 0)
+}
+
+func TestChangesTellEachStepOnce(t *testing.T) {
+	is := is.New(t)
+	tab := NewTable(newClock().now)
+	tab.Charge(1, 1)
+	tab.Charge(1, 2)
+	<-tab.Changed()
+	changes := tab.Changes()
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Before, 0)
+	is.Equal(len(changes[0].Ends), 2)
+	is.Equal(len(tab.Changes()), 0)
+	tab.Answered(1)
+	is.Equal(tab.Changes()[0].Before, 2)
+}
+
+// BenchmarkAsk is what a call pays: nothing is suspected, as on most days, and something is.
+func BenchmarkAsk(b *testing.B) {
+	tab := NewTable(time.Now)
+	body := make([]byte, 1000)
+	ask := func(b *testing.B) {
+		for b.Loop() {
+			if tab.Any() {
+				tab.Ends(Of("clerk", "GET", "a.example", "/tickets/42", body))
+			}
+		}
+	}
+	b.Run("none", ask)
+	for i := range Most {
+		tab.Charge(Digest(i+1), End(i))
+	}
+	b.Run("full", ask)
+}
--- a/internal/system/document_test.go
+++ b/internal/system/document_test.go
@@ -29,7 +29,7 @@
 func documentWorld() *table.World {
 	p := testParams()
 	p.Documents = true
-	return table.New(wire.Member{ID: "vm", Domain: "d", Peer: "vm"}, p, time.Unix(1000, 0), 1)
+	return table.New(wire.Member{ID: "vm", Domain: "d", Peer: "vm"}, p, noSuspects(), time.Unix(1000, 0), 1)
 }
 
 func TestDocumentsOnlyGoForward(t *testing.T) {
--- a/internal/system/net_test.go
+++ b/internal/system/net_test.go
@@ -10,6 +10,7 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/devlog"
 	"github.com/comfreygate/comfreygate/internal/lang"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
 	"github.com/comfreygate/comfreygate/internal/wire"
@@ -103,7 +104,7 @@
 		ID: node.id, Domain: node.domain, LinkMbps: node.linkMbps, Peer: node.id, Owner: node.id, Admin: node.id,
 		Incarnation: uint64(n.now.UnixNano()) + uint64(node.lives),
 	}
-	node.w = table.New(self, p, n.now, uint64(len(node.id)*1000+node.lives*31+slices.Index(n.nodes, node)))
+	node.w = table.New(self, p, suspect.NewTable(func() time.Time { return n.now }), n.now, uint64(len(node.id)*1000+node.lives*31+slices.Index(n.nodes, node)))
 }
 
 // kill ends a daemon at once; its peers notice a little later.
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
 	"github.com/comfreygate/comfreygate/platform/store"
@@ -107,6 +108,11 @@
 	// to look there for others'.
 	PublishSelf bool
 	FindSeeds   bool
+	// ReadQuarantine asks for a read of the store's quarantined requests, KeepQuarantine
+	// to leave records there, DropQuarantine to drop some.
+	ReadQuarantine bool
+	KeepQuarantine []suspect.Record
+	DropQuarantine []suspect.Digest
 	// Refresh says that the view of the call path is out of date.
 	Refresh bool
 }
@@ -132,6 +138,7 @@
 	runReadiness(w, now, &out)
 	runCheckpoints(w, now, &out)
 	runGossip(w, now, &out)
+	runSuspects(w, now, &out)
 	if w.ViewDirty {
 		w.ViewDirty = false
 		out.Refresh = true
@@ -163,6 +170,9 @@
 		addSeeds(w, now, v.Addrs)
 	case SelfListed:
 		noteListed(w, now, v.Listed)
+	case QuarantineRead:
+		receiveQuarantine(w, v)
+	case Suspected: // runSuspects takes it from the table
 	case Leave:
 		w.Self.Leaving = true
 		touchSelf(w)
@@ -204,6 +214,8 @@
 		receiveDelta(w, now, l, m, out)
 	case wire.Snapshot:
 		receiveSnapshot(w, now, l, m, out)
+	case wire.Suspects:
+		receiveSuspects(w, l, m)
 	}
 }
 
--- a/internal/system/topology_test.go
+++ b/internal/system/topology_test.go
@@ -57,7 +57,7 @@
 		}
 		var first []wire.Member
 		for i, self := range members {
-			w := table.New(self, testParams(), time.Unix(1000, 0), 1)
+			w := table.New(self, testParams(), noSuspects(), time.Unix(1000, 0), 1)
 			for j, m := range members {
 				if j != i {
 					w.Members[m.ID] = &table.Member{Member: m}
--- a/internal/table/link.go
+++ b/internal/table/link.go
@@ -38,6 +38,8 @@
 	Position uint64
 	Hash     string
 	Members  uint64
+	// TakesSuspects is set if the other end takes what is known of suspects.
+	TakesSuspects bool
 	// Sent is the position up to which records were pushed.
 	Sent uint64
 	// PullAfter is when the next pull may be sent.
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/wire"
 )
 
@@ -98,6 +99,9 @@
 	Log      Log
 	Outgoing Outgoing
 	Alarms   map[string]string
+	// Suspects is shared with the call path, which adds what it sees.
+	Suspects   *suspect.Table
+	Quarantine Quarantine
 
 	NextProbe time.Time
 	NextSeed  time.Time
@@ -194,6 +198,20 @@
 	NextPublish time.Time
 }
 
+// Quarantine is what this daemon knows of the quarantined requests on the store.
+type Quarantine struct {
+	// Held are the store's records, as last read.
+	Held map[suspect.Digest]suspect.Record
+	// Read is set once the store was read.
+	Read bool
+	// Since is when this daemon first saw that the store lacks a record, by digest.
+	Since map[suspect.Digest]time.Time
+	// NextCheck is when the store is next compared with what is known here.
+	NextCheck time.Time
+	// From tells the connection on which news came that were not passed on yet.
+	From map[suspect.Digest]LinkID
+}
+
 // Outgoing gathers membership changes until the window ends.
 type Outgoing struct {
 	Full  map[string]LinkID
@@ -203,7 +221,7 @@
 }
 
 // New returns the tables of a daemon that has just started.
-func New(self wire.Member, p Params, now time.Time, seed uint64) *World {
+func New(self wire.Member, p Params, suspects *suspect.Table, now time.Time, seed uint64) *World {
 	return &World{
 		Params:      p,
 		Rand:        rand.New(rand.NewPCG(seed, seed)),
@@ -219,8 +237,12 @@
 		Config:      Config{State: config.Empty(), LastCheckpoint: now},
 		Outgoing:    Outgoing{Full: map[string]LinkID{}, Beats: map[string]LinkID{}},
 		Alarms:      map[string]string{},
-		Seeds:       p.Seeds,
-		NextProbe:   now.Add(p.Probe),
-		ViewDirty:   true,
+		Quarantine: Quarantine{
+			Held: map[suspect.Digest]suspect.Record{}, Since: map[suspect.Digest]time.Time{}, From: map[suspect.Digest]LinkID{},
+		},
+		Suspects:  suspects,
+		Seeds:     p.Seeds,
+		NextProbe: now.Add(p.Probe),
+		ViewDirty: true,
 	}
 }
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -27,6 +27,8 @@
 		return decodeAs[Snapshot](body)
 	case MethodBusy:
 		return decodeAs[Busy](body)
+	case MethodSuspects:
+		return decodeAs[Suspects](body)
 	}
 	return nil, errors.Errorf("unknown method %q", method)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 )
 
 // Upstream is what a daemon announces of an upstream on its VM.
@@ -75,7 +76,10 @@
 	Probe bool `json:"probe,omitempty"`
 	// Floor is the highest version that the sender saw the receiver apply.
 	Floor uint64 `json:"floor,omitempty"`
-	Ping  Ping   `json:"ping"`
+	// Suspects is the hash of the sender's table of suspects, in hexadecimal digits. "":
+	// the sender is of a release that does not take the message.
+	Suspects string `json:"suspects,omitempty"`
+	Ping     Ping   `json:"ping"`
 }
 
 // Ping is the heartbeat of a connection and says what the sender holds.
@@ -135,6 +139,11 @@
 	State json.RawMessage `json:"state"`
 }
 
+// Suspects carries what is known of requests under which upstreams have ended.
+type Suspects struct {
+	Records []suspect.Record `json:"records"`
+}
+
 // Busy refuses a pull or a connection and says when to come back.
 type Busy struct {
 	RetryAfterMs int64 `json:"retry_after_ms"`
@@ -156,6 +165,7 @@
 	MethodDelta       = "delta"
 	MethodSnapshot    = "snapshot"
 	MethodBusy        = "busy"
+	MethodSuspects    = "suspects"
 )
 
 // Method implements Message.
@@ -185,6 +195,9 @@
 // Method implements Message.
 func (Busy) Method() string { return MethodBusy }
 
+// Method implements Message.
+func (Suspects) Method() string { return MethodSuspects }
+
 // Envelope is a message with the sender's clock.
 type Envelope struct {
 	Clock int64           `json:"clock"`
