--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -197,14 +197,16 @@
 	return out
 }
 
-// Records returns all that is known, by digest.
+// Records returns all that is known and not out of date, by digest.
 func (t *Table) Records() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expire()
+	now := t.now()
 	out := make([]Record, 0, len(t.rows))
 	for _, r := range t.rows {
-		out = append(out, r.Record)
+		if !r.Expired(now) {
+			out = append(out, r.Record)
+		}
 	}
 	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Digest, b.Digest) })
 	return out
--- a/internal/system/net_test.go
+++ b/internal/system/net_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -36,6 +37,13 @@
 	// checkFloor is off in tests that restart a daemon out of reach of those
 	// who knew its version.
 	checkFloor bool
+	// store holds the records of quarantined requests; written counts the changes to it,
+	// kept those that a test has not made itself or set back.
+	store   map[suspect.Digest][]byte
+	written int
+	kept    int
+	// bytes counts what each daemon sent of suspects, if it is set.
+	bytes map[string]int
 }
 
 type testNode struct {
@@ -47,6 +55,8 @@
 	lives      int
 	// highest is the highest version ever reported in force, over restarts.
 	highest uint64
+	// read names the last read of quarantined requests.
+	read string
 }
 
 // pipe is a connection; messages arrive in order, later.
@@ -82,6 +92,7 @@
 	n := &testNet{
 		fatalf: fatalf, now: time.Unix(1_700_000_000, 0), log: devlog.New(),
 		apart: map[string]bool{}, noLog: map[string]bool{}, content: map[string]string{}, checkFloor: true,
+		store: map[suspect.Digest][]byte{},
 	}
 	for d := range domains {
 		for i := range perDomain {
@@ -177,9 +188,14 @@
 		n.dial(node, d)
 	}
 	n.useLog(node, out)
+	n.useQuarantine(node, out)
 }
 
 func (n *testNet) send(node *testNode, s Send) {
+	if m, ok := s.Message.(wire.Suspects); ok && n.bytes != nil {
+		b, _ := json.Marshal(m)
+		n.bytes[node.id] += len(b)
+	}
 	for _, p := range n.pipes {
 		switch {
 		case p.closed:
