--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,6 +15,7 @@
 	"github.com/comfreygate/comfreygate/internal/agent"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/lang"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 )
 
 // NewHandler returns the API's handler. An empty token leaves the API open,
@@ -105,6 +106,8 @@
 		return h.query(st.Query)
 	case st.Reseed:
 		return h.reseed(ctx)
+	case st.Clear != "":
+		return h.clearSuspect(st.Clear)
 	}
 	cmd := config.Command{
 		ID: req.CommandID.Or(""), Author: req.Author.Or(""), IfVersion: st.IfVersion, Changes: st.Changes,
@@ -175,3 +178,17 @@
 	}
 	return &api.Answer{Kind: api.AnswerKindOutcome, Version: int64(version), Outcome: api.NewOptOutcome(out)}, nil
 }
+
+// clearSuspect lets a quarantined request run again, everywhere.
+func (h *handler) clearSuspect(text string) (*api.Answer, error) {
+	d, err := suspect.ParseDigest(text)
+	if err != nil {
+		return nil, &badInput{step: "clear suspect", err: errors.Errorf("%q is no digest: show suspects", text)}
+	}
+	out := api.Outcome{CommandID: "clear-suspect", Status: api.OutcomeStatusAccepted}
+	if !h.agent.ClearSuspect(d) {
+		out.Status = api.OutcomeStatusRejected
+		out.Reason = api.NewOptString("no upstream has ended under it as far as this daemon knows")
+	}
+	return &api.Answer{Kind: api.AnswerKindOutcome, Version: int64(h.agent.Held().Version), Outcome: api.NewOptOutcome(out)}, nil
+}
--- a/internal/admin/query.go
+++ b/internal/admin/query.go
@@ -48,6 +48,7 @@
 	"rejected": rejected,
 	"unknown":  unknowns,
 	"alarms":   alarms,
+	"suspects": suspects,
 }
 
 // query answers a query from this daemon's tables.
@@ -280,6 +281,22 @@
 	return r
 }
 
+func suspects(s source) result {
+	r := result{columns: []string{"digest", "state", "ends", "round", "age"}}
+	for _, rec := range s.world.Suspects.Records() {
+		state := "cleared"
+		switch {
+		case rec.Quarantined():
+			state = "quarantined"
+		case len(rec.Ends) > 0:
+			state = "suspected"
+		}
+		age := s.now.Sub(time.UnixMilli(rec.At)).Truncate(time.Second)
+		r.add(rec.Digest.String(), state, strconv.Itoa(len(rec.Ends)), strconv.Itoa(int(rec.Round)), age.String())
+	}
+	return r
+}
+
 // number writes a version, or a dash for none.
 func number(n uint64) string {
 	if n == 0 {
--- a/internal/lang/statement.go
+++ b/internal/lang/statement.go
@@ -18,7 +18,7 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 )
 
-// Statement is a parsed statement. Exactly one of Query, Changes and Reseed
+// Statement is a parsed statement. Exactly one of Query, Changes, Reseed and Clear
 // is set.
 type Statement struct {
 	Query   *Query
@@ -29,6 +29,8 @@
 	Force     bool
 	IfVersion *uint64
 	Reseed    bool
+	// Clear is the digest of a request that is no longer suspected.
+	Clear string
 }
 
 // Query asks for the rows of a table.
@@ -61,6 +63,7 @@
 type statementAST struct {
 	Query   *queryAST   `parser:"( @@"`
 	Reseed  bool        `parser:"| @'reseed' 'log'"`
+	Clear   string      `parser:"| 'clear' 'suspect' @Word"`
 	Command *commandAST `parser:"| @@ ) ';'?"`
 }
 
@@ -147,6 +150,8 @@
 		return &Statement{Query: ast.Query.query()}, nil
 	case ast.Reseed:
 		return &Statement{Reseed: true}, nil
+	case ast.Clear != "":
+		return &Statement{Clear: ast.Clear}, nil
 	}
 	version, err := ast.Command.Version.number()
 	if err != nil {
--- a/itest/crash_test.go
+++ b/itest/crash_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"github.com/comfreygate/comfreygate/api"
 	"github.com/comfreygate/comfreygate/itest/harness"
 )
 
@@ -165,6 +168,31 @@
 	s.vms = c.VMs[4:]
 	s.send(t, 40)
 	s.wants(t, known, "behind a cut")
+	clearedBy(t, c)
+}
+
+// clearedBy lets an operator clear the request at one daemon, and sends it at another.
+func clearedBy(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	is := is.New(t)
+	c.Cut(func(string, string) bool { return false })
+	held, err := c.VMs[5].Do("show suspects where state = quarantined")
+	is.NoErr(err)
+	is.Equal(len(held.Rows), 1)
+	digest := held.Rows[0][0]
+	a, err := c.VMs[0].Do("clear suspect " + digest)
+	is.NoErr(err)
+	is.Equal(a.Outcome.Value.Status, api.OutcomeStatusAccepted)
+	a, err = c.VMs[0].Do("clear suspect " + digest)
+	is.NoErr(err)
+	is.Equal(a.Outcome.Value.Status, api.OutcomeStatusRejected)
+	harness.Eventually(t, "cleared everywhere", func() error {
+		held, err := c.VMs[5].Do("show suspects where state = quarantined")
+		if err == nil && len(held.Rows) > 0 {
+			err = fmt.Errorf("%v", held.Rows)
+		}
+		return err
+	})
 }
 
 // beside makes calls that are no copies of the request: others by the same caller, of
