--- a/internal/callpath/fleet_ends_test.go
+++ b/internal/callpath/fleet_ends_test.go
@@ -206,13 +206,13 @@
 }
 
 // endsTally is what came of deadly requests.
-type endsTally struct{ ends, runs, late, innocent int }
+type endsTally struct{ ends, runs, late, innocent, calls int }
 
 // tallyEnds counts. Late are the runs of a request that began when all could have known of
 // three ends under it; of several requests the one with most counts.
 func (s *fleetSim) tallyEnds() endsTally {
 	const contact = 3 * time.Second
-	t := endsTally{ends: len(s.ends.at), innocent: s.ends.innocent}
+	t := endsTally{ends: len(s.ends.at), innocent: s.ends.innocent, calls: s.ends.paths}
 	for path, runs := range s.ends.runs {
 		t.runs += len(runs)
 		late := 0
@@ -257,11 +257,12 @@
 				t.Errorf("%d VMs, %d requests, seed %d: %+v", tc.vms, tc.requests, seed, got)
 			}
 			sum.innocent += got.innocent
+			sum.calls += got.calls
 			sum.ends += got.ends
 			sum.runs += got.runs
 		}
-		t.Logf("%d VMs, %d requests: %.1f ends and %.1f runs in the mean of %d, %d others refused in all",
-			tc.vms, tc.requests, float64(sum.ends)/float64(tc.seeds), float64(sum.runs)/float64(tc.seeds), tc.seeds, sum.innocent)
+		t.Logf("%d VMs, %d requests: %.1f ends and %.1f runs in the mean of %d, %d others refused of %d calls in all",
+			tc.vms, tc.requests, float64(sum.ends)/float64(tc.seeds), float64(sum.runs)/float64(tc.seeds), tc.seeds, sum.innocent, sum.calls)
 	}
 }
 
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -59,16 +59,8 @@
 func (r *runs) enter(t *suspect.Table, a *Attempt) outcome.Reason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if own := endsUnder(t, a); own > 0 {
-		for other := range r.attempts {
-			d := other.sum()
-			if d == a.digest() {
-				return outcome.ReasonTried
-			}
-			if ends := t.Ends(d); ends > 0 && max(own, ends) >= stepFrom {
-				return outcome.ReasonApart
-			}
-		}
+	if reason := r.bars(t, a); reason != "" {
+		return reason
 	}
 	if r.attempts == nil {
 		r.attempts = map[*Attempt]struct{}{}
@@ -77,6 +69,24 @@
 	return ""
 }
 
+// bars says which of the others keeps an attempt out. The caller holds the lock.
+func (r *runs) bars(t *suspect.Table, a *Attempt) (reason outcome.Reason) {
+	own := endsUnder(t, a)
+	if own == 0 {
+		return ""
+	}
+	for other := range r.attempts {
+		d := other.sum()
+		if d == a.digest() {
+			return outcome.ReasonTried
+		}
+		if ends := t.Ends(d); ends > 0 && max(own, ends) >= stepFrom {
+			reason = outcome.ReasonApart
+		}
+	}
+	return reason
+}
+
 func (r *runs) leave(a *Attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -90,17 +100,18 @@
 	if !t.Any() {
 		return 0
 	}
-	most, who := stepFrom, suspect.Digest(0)
+	most, who, several := stepFrom-1, suspect.Digest(0), false
 	for _, d := range r.digests() {
 		switch n := t.Ends(d); {
 		case n > most:
-			most, who = n, d
-		case n == most && who == 0:
-			who = d
-		case n == most && who != d:
-			return 0
+			most, who, several = n, d, false
+		case n == most && n >= stepFrom && who != d:
+			several = true
 		}
 	}
+	if several {
+		return 0
+	}
 	return who
 }
 
