A call that was refused after it may have run is not called not-run

Not of this change alone: a refusal for want of room after a broken connection said the same. Change: what may have run stays unknown, with the advice of the last owner when to come back.

--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -89,6 +89,8 @@
 	last    outcome.Result
 	// answer is an upstream's failure, kept in case that nothing better comes.
 	answer *outcome.Result
+	// unknown is the last attempt that may have run without an answer.
+	unknown *outcome.Result
 }
 
 func (t *tries) add(u view.Upstream, r outcome.Result) {
@@ -107,13 +109,22 @@
 	if r.Outcome == outcome.Answered {
 		t.answer = &r
 	}
+	if r.Outcome == outcome.Unknown {
+		t.unknown = &r
+	}
 }
 
 // best returns the most useful result of the attempts made: an upstream's
-// answer, else one that does not claim less than happened.
+// answer, else one that does not claim less than happened. A call that was refused after
+// an attempt that may have run is not one that has not run.
 func (t *tries) best() outcome.Result {
-	if t.answer != nil {
+	switch {
+	case t.answer != nil:
 		return *t.answer
+	case t.last.Outcome == outcome.NotRun && t.unknown != nil:
+		r := *t.unknown
+		r.RetryAfter = t.last.RetryAfter
+		return r
 	}
 	return t.last
 }
--- a/internal/callpath/retry_test.go
+++ b/internal/callpath/retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/view"
 )
 
 // TestFailuresOfUpstreamsAreRepeatedSparingly lets all upstreams fail. A run
@@ -41,3 +42,21 @@
 	refused := tries{upstreams: []string{"a0"}, last: outcome.Refuse(outcome.ReasonOverload, 60*time.Millisecond)}
 	is.Equal(refused.exhausted(refusal).RetryAfter, 60*time.Millisecond)
 }
+
+// TestRefusalAfterARunIsNotCalledNotRun: a call that may be repeated was cut off at one
+// upstream and refused by the next one's owner. It may have run, and its caller was told
+// that it had not.
+func TestRefusalAfterARunIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	var calls tries
+	calls.add(view.Upstream{ID: "a0"}, outcome.Unsure(outcome.ReasonEnded, nil))
+	calls.add(view.Upstream{ID: "a1"}, outcome.Refuse(outcome.ReasonOverload, 60*time.Millisecond))
+	for _, r := range []outcome.Result{calls.best(), calls.exhausted(outcome.Refuse(outcome.ReasonQuarantined, 0))} {
+		is.Equal(r.Outcome, outcome.Unknown)
+		is.Equal(r.Reason, outcome.ReasonEnded)
+		is.Equal(r.RetryAfter, 60*time.Millisecond) // as the owner said
+	}
+	answer := outcome.Result{Outcome: outcome.Answered, Body: http.NoBody}
+	calls.add(view.Upstream{ID: "a2"}, answer)
+	is.Equal(calls.best().Outcome, outcome.Answered)
+}
