A request that was answered lately is vouched for, also after it was excused

Likewise one that had been cleared before was never vouched for again. Change: an excuse no longer uses up the memory of the answer; a record says whether its round began by an answer or by a word for it, and is vouched for once until the next answer. Besides: the store's records that are kept in mind are bounded, whoever wrote them, and so are the turns to write them; a look at an upstream no longer ends with the attempt's own time.

--- a/internal/agent/quarantine.go
+++ b/internal/agent/quarantine.go
@@ -142,7 +142,7 @@
 // ClearSuspect lets a request run again, here at once and everywhere else as soon as it is
 // told. It reports whether it was suspected.
 func (a *Agent) ClearSuspect(d suspect.Digest) bool {
-	cleared := a.suspects.Answered(d)
+	cleared := a.suspects.Vouch(d)
 	if cleared {
 		a.logger.Info().Str("step", "clear suspect").Stringer("digest", d).Msg("cleared by an operator")
 	}
--- a/internal/callpath/ended.go
+++ b/internal/callpath/ended.go
@@ -44,7 +44,8 @@
 	if e.last.n > 0 && now().Sub(e.at) < endedTogether {
 		return e.last, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, endedAsk)
+	// Whether the attempt itself has time left tells nothing of the upstream.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedAsk)
 	defer cancel()
 	if !p.refused(ctx) {
 		return end{}, false
--- a/internal/callpath/fleet_ends_test.go
+++ b/internal/callpath/fleet_ends_test.go
@@ -151,21 +151,27 @@
 	if len(changes) == 0 {
 		return
 	}
+	vm.vouch(changes)
 	s.after(simSpread, func() {
 		for _, other := range s.vms {
 			for _, c := range changes {
 				other.suspects.Merge(c.Record)
 			}
-			for _, c := range other.suspects.Changes() {
-				if c.Before < suspect.Enough {
-					other.owner.Vouch(c.Record)
-				}
-			}
+			other.vouch(other.suspects.Changes())
 			s.spread(other)
 		}
 	})
 }
 
+// vouch lets a VM's owner vouch for what has just been put in quarantine.
+func (vm *simVM) vouch(changes []suspect.Change) {
+	for _, c := range changes {
+		if c.Before < suspect.Enough {
+			vm.owner.Vouch(c.Record)
+		}
+	}
+}
+
 // deadly is a request that comes 8 times a second, at any VM of its caller, and again as
 // callers do.
 func deadly(name string, vms int) *simKind {
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/outcome"
@@ -46,86 +45,6 @@
 // stepFrom is how many ends a request has that is a step from quarantine.
 const stepFrom = suspect.Enough - 1
 
-// runs are the attempts that an upstream works at. Safe for concurrent use.
-type runs struct {
-	mu       sync.Mutex
-	attempts map[*Attempt]struct{}
-}
-
-// enter adds an attempt, or says why it must not run beside the others. A suspect runs in
-// one copy at a time, since each copy more ends with the upstream and tells nothing. One
-// that is a step from quarantine does not run beside another suspect: of the two nobody
-// could tell then which ends the upstream.
-func (r *runs) enter(t *suspect.Table, a *Attempt) outcome.Reason {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if reason := r.bars(t, a); reason != "" {
-		return reason
-	}
-	if r.attempts == nil {
-		r.attempts = map[*Attempt]struct{}{}
-	}
-	r.attempts[a] = struct{}{}
-	return ""
-}
-
-// bars says which of the others keeps an attempt out. The caller holds the lock.
-func (r *runs) bars(t *suspect.Table, a *Attempt) (reason outcome.Reason) {
-	own := endsUnder(t, a)
-	if own == 0 {
-		return ""
-	}
-	for other := range r.attempts {
-		d := other.sum()
-		if d == a.digest() {
-			return outcome.ReasonTried
-		}
-		if ends := t.Ends(d); ends > 0 && max(own, ends) >= stepFrom {
-			reason = outcome.ReasonApart
-		}
-	}
-	return reason
-}
-
-func (r *runs) leave(a *Attempt) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.attempts, a)
-}
-
-// culprit returns the request to which the end that has come under all of these is put
-// down: the one that was a step from quarantine, or beyond, if there was one only. Zero:
-// it proves nothing against any one of them.
-func (r *runs) culprit(t *suspect.Table) suspect.Digest {
-	if !t.Any() {
-		return 0
-	}
-	most, who, several := stepFrom-1, suspect.Digest(0), false
-	for _, d := range r.digests() {
-		switch n := t.Ends(d); {
-		case n > most:
-			most, who, several = n, d, false
-		case n == most && n >= stepFrom && who != d:
-			several = true
-		}
-	}
-	if several {
-		return 0
-	}
-	return who
-}
-
-// digests returns those of the attempts.
-func (r *runs) digests() []suspect.Digest {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []suspect.Digest
-	for a := range r.attempts {
-		out = append(out, a.sum())
-	}
-	return out
-}
-
 // heldBack refuses an attempt that must not run here for what has ended under its request.
 // Without a reason it runs, until it leaves loc.runs.
 func (o *Owner) heldBack(loc *local, a *Attempt) outcome.Result {
@@ -149,7 +68,7 @@
 // three end at once.
 func (o *Owner) charge(a *Attempt, e end) {
 	t, d := o.cfg.Suspects, a.digest()
-	if t.Ends(d) >= stepFrom && d != e.culprit || o.recent.Take(d) {
+	if t.Ends(d) >= stepFrom && d != e.culprit || o.recent.Excuse(d) {
 		return
 	}
 	t.Charge(d, suspect.EndOf(a.Upstream, o.cfg.Incarnation, e.n))
@@ -157,11 +76,11 @@
 
 // Vouch clears a request that has just been put in quarantine if an upstream here has
 // answered it lately: where all that ran it end at once, no answer is left to do so. Each
-// request is vouched for in its first round only, or one that has become deadly would end
-// three upstreams for each daemon that has answered it before.
+// request is vouched for once until it is answered again, or one that has become deadly
+// would end three upstreams for each daemon that has answered it before.
 func (o *Owner) Vouch(r suspect.Record) {
-	if r.Quarantined() && r.Round == 0 && o.recent.Take(r.Digest) {
-		o.cfg.Suspects.Answered(r.Digest)
+	if r.Quarantined() && !r.Vouched && o.recent.Has(r.Digest) {
+		o.cfg.Suspects.Vouch(r.Digest)
 	}
 }
 
--- a/internal/callpath/suspects_test.go
+++ b/internal/callpath/suspects_test.go
@@ -182,6 +182,30 @@
 	is.Equal(tab.Ends(usual.digest()), stepFrom)
 }
 
+// TestDaemonThatAnsweredVouchesOnce: for a request that many ask for, and not again and
+// again for one that has become deadly.
+func TestDaemonThatAnsweredVouchesOnce(t *testing.T) {
+	is := is.New(t)
+	tab := suspect.NewTable(time.Now)
+	o := &Owner{cfg: OwnerConfig{Suspects: tab}, recent: suspect.NewRecent(time.Now)}
+	a := &Attempt{Method: http.MethodGet, URL: mustURL(t, "/a")}
+	quarantine := func() suspect.Record {
+		for e := range suspect.Enough {
+			tab.Charge(a.digest(), suspect.End(e+1))
+		}
+		rec, _ := tab.Record(a.digest())
+		return rec
+	}
+	o.Vouch(quarantine())
+	is.Equal(tab.Ends(a.digest()), suspect.Enough) // nobody here has answered it
+	tab.Answered(a.digest())
+	o.recent.Add(a.digest())
+	o.Vouch(quarantine())
+	is.Equal(tab.Ends(a.digest()), 0)
+	o.Vouch(quarantine())
+	is.Equal(tab.Ends(a.digest()), suspect.Enough)
+}
+
 // TestAnEndUnderTwoOfThemProvesNothing: it is known of neither then, and they are kept
 // apart from there on.
 func TestAnEndUnderTwoOfThemProvesNothing(t *testing.T) {
--- a/internal/suspect/recent.go
+++ b/internal/suspect/recent.go
@@ -21,14 +21,15 @@
 
 	mu     sync.Mutex
 	turned time.Time
-	// current and before hold those of this window and of the one before it.
-	current map[Digest]struct{}
-	before  map[Digest]struct{}
+	// current and before hold those of this window and of the one before it, and whether
+	// they were excused since.
+	current map[Digest]bool
+	before  map[Digest]bool
 }
 
 // NewRecent returns an empty memory.
 func NewRecent(now func() time.Time) *Recent {
-	return &Recent{now: now, turned: now(), current: map[Digest]struct{}{}}
+	return &Recent{now: now, turned: now(), current: map[Digest]bool{}}
 }
 
 // Add takes note that a request was answered.
@@ -36,22 +37,37 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now := r.now(); now.Sub(r.turned) >= recentWindow || len(r.current) >= recentMost {
-		r.before, r.current, r.turned = r.current, map[Digest]struct{}{}, now
+		r.before, r.current, r.turned = r.current, map[Digest]bool{}, now
 	}
-	r.current[d] = struct{}{}
+	r.current[d] = false
 }
 
-// Take reports whether a request was answered lately, and forgets it: what it is excused
-// by counts once.
-func (r *Recent) Take(d Digest) bool {
+// Has reports whether a request was answered lately.
+func (r *Recent) Has(d Digest) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	_, known := r.look(d)
+	return known
+}
+
+// Excuse reports whether a request was answered lately and not excused since its last
+// answer.
+func (r *Recent) Excuse(d Digest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	excused, known := r.look(d)
+	if known {
+		r.current[d] = true
+	}
+	return known && !excused
+}
+
+func (r *Recent) look(d Digest) (excused, known bool) {
 	if r.now().Sub(r.turned) >= 2*recentWindow {
-		return false
+		return false, false
+	}
+	if excused, known = r.current[d]; !known {
+		excused, known = r.before[d]
 	}
-	_, current := r.current[d]
-	_, before := r.before[d]
-	delete(r.current, d)
-	delete(r.before, d)
-	return current || before
+	return excused, known
 }
--- a/internal/suspect/recent_test.go
+++ b/internal/suspect/recent_test.go
@@ -13,14 +13,19 @@
 	r := NewRecent(c.now)
 	r.Add(1)
 	r.Add(2)
-	is.True(r.Take(1))
-	is.True(!r.Take(1)) // once
+	is.True(r.Excuse(1))
+	is.True(!r.Excuse(1)) // once
+	is.True(r.Has(1))
+	r.Add(1)
+	is.True(r.Excuse(1)) // and again after another answer
 	c.at = c.at.Add(recentWindow)
 	r.Add(3)
-	is.True(r.Take(2))
+	is.True(r.Excuse(2))
+	is.True(!r.Excuse(2))
 	r.Add(4)
 	c.at = c.at.Add(2 * recentWindow)
-	is.True(!r.Take(4))
+	is.True(!r.Excuse(4))
+	is.True(!r.Has(4))
 	for i := range 3 * recentMost {
 		r.Add(Digest(i + 10))
 	}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -41,6 +41,9 @@
 	// Round grows each time that an upstream answered the request: what ended before
 	// ended by something else.
 	Round uint32 `json:"r,omitempty"`
+	// Vouched says that this round began without an answer: a daemon that had answered the
+	// request before has vouched for it, or an operator has cleared it.
+	Vouched bool `json:"v,omitempty"`
 	// Ends are the upstreams that have ended under the request in this round, Enough at
 	// most, in order.
 	Ends []End `json:"e,omitempty"`
@@ -63,11 +66,16 @@
 	ends := slices.Concat(r.Ends, o.Ends)
 	slices.Sort(ends)
 	ends = slices.Compact(ends)
-	return Record{Digest: r.Digest, Round: r.Round, Ends: ends[:min(len(ends), Enough)], At: max(r.At, o.At)}
+	return Record{
+		Digest: r.Digest, Round: r.Round, Vouched: r.Vouched || o.Vouched,
+		Ends: ends[:min(len(ends), Enough)], At: max(r.At, o.At),
+	}
 }
 
 // Same reports whether two records of a request say the same of it.
-func (r Record) Same(o Record) bool { return r.Round == o.Round && slices.Equal(r.Ends, o.Ends) }
+func (r Record) Same(o Record) bool {
+	return r.Round == o.Round && r.Vouched == o.Vouched && slices.Equal(r.Ends, o.Ends)
+}
 
 // Expired reports whether a record is out of date.
 func (r Record) Expired(now time.Time) bool { return now.UnixMilli()-r.At > Keep.Milliseconds() }
@@ -75,6 +83,9 @@
 // hash returns a number that differs between records that are not the same.
 func (r Record) hash() uint64 {
 	words := []uint64{uint64(r.Digest), uint64(r.Round)}
+	if r.Vouched {
+		words = append(words, 0)
+	}
 	for _, e := range r.Ends {
 		words = append(words, uint64(e))
 	}
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -93,11 +93,23 @@
 func (t *Table) Answered(d Digest) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.clear(d, false)
+}
+
+// Vouch clears a request without an answer. It reports whether there was anything to
+// clear.
+func (t *Table) Vouch(d Digest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clear(d, true)
+}
+
+func (t *Table) clear(d Digest, vouched bool) bool {
 	r := t.rows[d]
 	if r == nil || len(r.Ends) == 0 {
 		return false
 	}
-	return t.merge(Record{Digest: d, Round: r.Round + 1, At: t.now().UnixMilli()})
+	return t.merge(Record{Digest: d, Round: r.Round + 1, Vouched: vouched, At: t.now().UnixMilli()})
 }
 
 // Merge takes in what another daemon knows. It reports whether that is news.
--- a/internal/suspect/table_test.go
+++ b/internal/suspect/table_test.go
@@ -45,11 +45,13 @@
 		for range rapid.IntRange(1, 40).Draw(rt, "ops") {
 			tab := tabs[rapid.IntRange(0, 2).Draw(rt, "table")]
 			d := Digest(rapid.IntRange(1, 3).Draw(rt, "digest"))
-			switch rapid.IntRange(0, 2).Draw(rt, "op") {
+			switch rapid.IntRange(0, 3).Draw(rt, "op") {
 			case 0:
 				tab.Charge(d, End(rapid.IntRange(1, 6).Draw(rt, "end")))
 			case 1:
 				tab.Answered(d)
+			case 2:
+				tab.Vouch(d)
 			default:
 				share(tab, tabs[rapid.IntRange(0, 2).Draw(rt, "from")])
 			}
--- a/internal/system/suspects.go
+++ b/internal/system/suspects.go
@@ -117,6 +117,9 @@
 	return w.MembersTree.Root && w.Log.Up && mayReadLog(w, now)
 }
 
+// heldMost bounds the store's records that are kept in mind, whoever wrote them.
+const heldMost = 2 * suspect.Most
+
 // receiveQuarantine takes in what the store holds.
 func receiveQuarantine(w *table.World, r QuarantineRead) {
 	if r.Err != nil {
@@ -128,7 +131,9 @@
 		clear(q.Held)
 	}
 	for _, rec := range r.Records {
-		q.Held[rec.Digest] = rec
+		if _, ok := q.Held[rec.Digest]; ok || len(q.Held) < heldMost {
+			q.Held[rec.Digest] = rec
+		}
 		w.Suspects.Merge(rec)
 	}
 }
@@ -141,34 +146,34 @@
 		return
 	}
 	q.NextCheck = now.Add(keepCheck)
+	due := map[suspect.Digest]time.Time{}
 	for d, held := range q.Held {
-		if held.Expired(now) && keepNow(w, now, d) {
+		if held.Expired(now) && keepNow(w, now, d, due) {
 			out.DropQuarantine = append(out.DropQuarantine, d)
 			delete(q.Held, d)
-			delete(q.Since, d)
 		}
 	}
 	for _, r := range w.Suspects.Records() {
 		held, ok := q.Held[r.Digest]
-		switch {
-		case !ok && !r.Quarantined(), ok && held.Same(r):
-			delete(q.Since, r.Digest)
-		case keepNow(w, now, r.Digest):
+		lacks := !ok && r.Quarantined() || ok && !held.Same(r)
+		if lacks && keepNow(w, now, r.Digest, due) {
 			out.KeepQuarantine = append(out.KeepQuarantine, r)
 		}
 	}
+	q.Due = due
 }
 
-// keepNow reports whether it is this reader's turn to change a record on the store.
-func keepNow(w *table.World, now time.Time, d suspect.Digest) bool {
-	since, ok := w.Quarantine.Since[d]
+// keepNow reports whether it is this reader's turn to change a record on the store, and
+// puts into due when it is its next turn.
+func keepNow(w *table.World, now time.Time, d suspect.Digest, due map[suspect.Digest]time.Time) bool {
+	at, ok := w.Quarantine.Due[d]
 	if !ok {
-		since = now.Add(keepTurn * time.Duration(turn(w)))
-		w.Quarantine.Since[d] = since
+		at = now.Add(keepTurn * time.Duration(turn(w)))
 	}
-	if now.Before(since) {
-		return false
+	mine := !now.Before(at)
+	if mine {
+		at = now.Add(keepRetry)
 	}
-	w.Quarantine.Since[d] = now.Add(keepRetry)
-	return true
+	due[d] = at
+	return mine
 }
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -204,8 +204,8 @@
 	Held map[suspect.Digest]suspect.Record
 	// Read is set once the store was read.
 	Read bool
-	// Since is when this daemon first saw that the store lacks a record, by digest.
-	Since map[suspect.Digest]time.Time
+	// Due is when it is this daemon's turn to change a record there, by digest.
+	Due map[suspect.Digest]time.Time
 	// NextCheck is when the store is next compared with what is known here.
 	NextCheck time.Time
 	// From tells the connection on which news came that were not passed on yet.
@@ -238,7 +238,7 @@
 		Outgoing:    Outgoing{Full: map[string]LinkID{}, Beats: map[string]LinkID{}},
 		Alarms:      map[string]string{},
 		Quarantine: Quarantine{
-			Held: map[suspect.Digest]suspect.Record{}, Since: map[suspect.Digest]time.Time{}, From: map[suspect.Digest]LinkID{},
+			Held: map[suspect.Digest]suspect.Record{}, From: map[suspect.Digest]LinkID{},
 		},
 		Suspects:  suspects,
 		Seeds:     p.Seeds,
