Test harnesses in files by their jobs

The virtual fleet apart from the tests that play it; calls, faults and processes of the real one apart from each other. Nothing changed but the place.

--- /dev/null
+++ b/internal/callpath/fleet_sim_test.go
@@ -0,0 +1,494 @@
+package callpath
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreygate/comfreygate/internal/admission"
+	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/suspect"
+	"github.com/comfreygate/comfreygate/internal/view"
+)
+
+// A fleetSim plays many daemons in virtual time: the real choice of an upstream, retry
+// rules and gates, with upstreams, callers and the network made up. One seed gives one
+// result.
+type fleetSim struct {
+	rng    *rand.Rand
+	now    time.Time
+	end    time.Time
+	events simEvents
+	seq    int
+	vms    []*simVM
+	byID   map[string]*simVM
+	kinds  []*simKind
+	// attempts and crossed count the attempts and those that left the failure domain.
+	attempts int
+	crossed  int
+	// sheds is the part of what comes that the upstreams of a service refuse.
+	sheds map[string]float64
+	// callsTo counts the calls to a service that are no repeats, repeatsAt the repeats
+	// that reach its upstreams.
+	callsTo   map[string]int
+	repeatsAt map[string]int
+	// ends is what becomes of upstreams that end under a request.
+	ends simEnds
+}
+
+// simVM is a VM with its daemon and its upstream.
+type simVM struct {
+	id       string
+	service  string
+	domain   string
+	speed    float64
+	ingress  *Ingress
+	gate     *admission.Gate
+	services map[string]*view.Service
+	waiting  []*simWait
+	simUpstream
+}
+
+type simWait struct {
+	w       *admission.Waiter
+	decided func(outcome.Reason)
+}
+
+// simKind is a kind of call.
+type simKind struct {
+	route    *view.Route
+	service  string
+	perVM    float64 // calls a second that enter at each VM
+	work     time.Duration
+	spread   float64
+	deadline time.Duration
+	late     float64 // what a late answer is worth
+	callOf   *simKind
+	callPart float64
+	calls    int
+
+	// deadly calls end the upstream that runs them; all are copies of one.
+	deadly bool
+
+	asked, inTime, lateN, refused, failed int
+}
+
+// simCall is a caller's request with its returns.
+type simCall struct {
+	kind    *simKind
+	vm      *simVM
+	first   time.Time
+	until   time.Time
+	returns int
+	// path is that of the request, the same when the caller returns.
+	path string
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+func (s *fleetSim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), seq: s.seq, do: do})
+}
+
+// run plays until the end.
+func (s *fleetSim) run() {
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		if e.at.After(s.end) {
+			return
+		}
+		s.now = e.at
+		e.do()
+	}
+}
+
+// The load of savings banks: lookups whose work makes two short calls to the smaller
+// service, postings, uploads and queries. Grounds: 95 VMs with 15 slots each, 74 of
+// them for the larger service, 845, 319, 101 and 99.5 calls a second.
+const (
+	simSlots   = 15
+	simLarge   = 74.0 / 95
+	simDomains = 5
+)
+
+func bankKinds(load float64) []*simKind {
+	route := func(name string, urgency config.Urgency, objective, timeout time.Duration, repeat bool) *view.Route {
+		p := config.Policy{Name: name, Urgency: urgency, Objective: objective, Timeout: timeout, Retries: 1}
+		if repeat {
+			p.Repeatable = []string{http.MethodGet}
+		}
+		return &view.Route{Name: name, Policy: p}
+	}
+	ms := time.Millisecond
+	check := &simKind{route: route("check", 12, 500*ms, 1500*ms, true), service: "small", work: 120 * ms, spread: 0.5, deadline: 1500 * ms}
+	kinds := []*simKind{
+		{route: route("lookup", 14, 1500*ms, 5000*ms, true), service: "large", perVM: 845.0 / 95, work: 480 * ms, spread: 0.8,
+			deadline: 10_000 * ms, late: 0.5, callOf: check, callPart: 0.7, calls: 2},
+		{route: route("post", 15, 2000*ms, 6000*ms, false), service: "large", perVM: 319.0 / 95, work: 630 * ms, spread: 0.5, deadline: 12_000 * ms, late: 0.5},
+		{route: route("upload", 15, 2000*ms, 8000*ms, false), service: "small", perVM: 101.0 / 95, work: 580 * ms, spread: 0.8, deadline: 12_000 * ms, late: 0.5},
+		{route: route("query", 14, 1200*ms, 3000*ms, false), service: "small", perVM: 99.5 / 95, work: 390 * ms, spread: 0.8, deadline: 6_000 * ms, late: 0.5},
+		check,
+	}
+	for _, k := range kinds {
+		k.perVM *= load
+	}
+	return kinds
+}
+
+// newFleetSim returns n VMs under a multiple of the usual load.
+func newFleetSim(n int, load float64, length time.Duration, seed uint64) *fleetSim {
+	s := &fleetSim{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), kinds: bankKinds(load),
+		byID:  map[string]*simVM{},
+		sheds: map[string]float64{}, callsTo: map[string]int{}, repeatsAt: map[string]int{},
+		ends: simEnds{under: map[string][]time.Time{}, runs: map[string][]time.Time{}},
+	}
+	s.end = s.now.Add(length)
+	clock := func() time.Time { return s.now }
+	events := event.NewRing("vm", event.NewClock(clock), 16)
+	m := NewMetrics(metrics.NewRegistry())
+	large := int(math.Round(simLarge * float64(n)))
+	speeds := []float64{0.5, 1, 1, 1.5}
+	for i := range n {
+		vm := &simVM{id: fmt.Sprintf("vm-%d", i), service: "large", domain: fmt.Sprintf("d%d", i%simDomains), speed: speeds[s.rng.IntN(4)]}
+		if i >= large {
+			vm.service = "small"
+		}
+		vm.gate = admission.New(clock, simSlots, simSlots, time.Time{})
+		vm.simUpstream = newSimUpstream(clock)
+		vm.ingress = NewIngress(IngressConfig{
+			VM: vm.id, Suspects: vm.suspects, Domain: vm.domain, RetryRatio: 0.2, RetryBurst: 3, CrossDomainCost: 40, Dialect: DefaultDialect(),
+			Events: events, Metrics: m, Logger: zerolog.Nop(), Now: clock, Seed: seed*1000 + uint64(i),
+		}, nil)
+		s.vms = append(s.vms, vm)
+		s.byID[vm.id] = vm
+	}
+	for _, vm := range s.vms {
+		vm.services = s.servicesSeenFrom(vm)
+		for _, k := range s.kinds {
+			s.arrivals(vm, k)
+		}
+	}
+	return s
+}
+
+func (s *fleetSim) servicesSeenFrom(vm *simVM) map[string]*view.Service {
+	services := map[string]*view.Service{}
+	for _, o := range s.vms {
+		sv := services[o.service]
+		if sv == nil {
+			sv = &view.Service{Service: config.Service{Name: o.service}}
+			services[o.service] = sv
+		}
+		sv.Upstreams = append(sv.Upstreams, view.Upstream{
+			ID: o.id, Service: o.service, Slots: simSlots, Daemon: o.id, Domain: o.domain, Owner: o.id, Local: o == vm,
+		})
+	}
+	return services
+}
+
+// arrivals lets callers of a kind come to a VM.
+func (s *fleetSim) arrivals(vm *simVM, k *simKind) {
+	if k.perVM == 0 {
+		return
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/k.perVM*float64(time.Second)), func() {
+		k.asked++
+		s.ask(&simCall{kind: k, vm: vm, first: s.now, until: s.now.Add(k.deadline), path: s.pathOf(k)})
+		s.arrivals(vm, k)
+	})
+}
+
+// simReturns is how often a caller comes back.
+const simReturns = 2
+
+func (s *fleetSim) ask(sc *simCall) {
+	k := sc.kind
+	s.carry(sc.vm, k, sc.path, s.now.Add(min(k.route.Policy.Timeout, sc.until.Sub(s.now))), sc.first.Add(k.route.Policy.Objective), nil, func(r outcome.Result) {
+		s.ends.note(k, r)
+		took := s.now.Sub(sc.first)
+		left := sc.until.Sub(s.now)
+		switch {
+		case r.Outcome == outcome.Answered && r.Status < 500:
+			if took <= k.route.Policy.Objective {
+				k.inTime++
+			} else {
+				k.lateN++
+			}
+		case r.Outcome == outcome.NotRun && sc.returns < simReturns && left > 0:
+			sc.returns++
+			s.after(min(r.RetryAfter, left/3), func() { s.ask(sc) })
+		case r.Outcome == outcome.NotRun:
+			k.refused++
+		case sc.returns < simReturns && k.route.Policy.Repeatable != nil && left > 0:
+			sc.returns++
+			s.ask(sc)
+		default:
+			k.failed++
+		}
+	})
+}
+
+// carry takes a call through the ingress of a VM.
+func (s *fleetSim) carry(vm *simVM, k *simKind, path string, deadline, objective time.Time, parent *simParent, done func(outcome.Result)) {
+	in := vm.ingress
+	c := &call{route: k.route, service: vm.services[k.service], attempt: Attempt{
+		Urgency: k.route.Policy.Urgency, Deadline: deadline, Objective: objective, Repeatable: k.route.Policy.Repeatable != nil,
+		Body: make([]byte, 0), Method: http.MethodGet, URL: &url.URL{Path: path}, Caller: vm.service,
+	}}
+	if parent != nil {
+		c.attempt.Nested, c.attempt.Urgency, c.attempt.ParentServed = true, parent.urgency, int(permille*parent.vm.gate.Served())
+		c.attempt.Lot, c.attempt.Repeated = parent.lot, parent.repeated
+	}
+	for _, b := range []*budget{in.budget, in.refusals, in.failures} {
+		b.earn(c.service.Name)
+	}
+	if c.attempt.Repeated {
+		in.budget.charge(c.service.Name)
+	} else {
+		s.callsTo[c.service.Name]++
+	}
+	s.attempt(vm, k, c, &tries{}, done)
+}
+
+// ways is how long a message takes: on a VM, in a failure domain and between them.
+func (s *fleetSim) way(from, to *simVM) time.Duration {
+	switch {
+	case from == to:
+		return 50 * time.Microsecond
+	case from.domain == to.domain:
+		return 400 * time.Microsecond
+	}
+	return 700 * time.Microsecond
+}
+
+func (s *fleetSim) attempt(vm *simVM, k *simKind, c *call, t *tries, done func(outcome.Result)) {
+	in := vm.ingress
+	if !s.now.Before(c.attempt.Deadline) {
+		done(in.outOfTime(*t))
+		return
+	}
+	if endsUnder(vm.suspects, &c.attempt) >= suspect.Enough {
+		done(t.exhausted(quarantined(vm.suspects, &c.attempt, s.now)))
+		return
+	}
+	u, refusal, ok := in.next(c, t.upstreams)
+	if !ok {
+		done(t.exhausted(refusal))
+		return
+	}
+	to := s.byID[u.ID]
+	c.attempt.Repeated = c.attempt.Repeated || t.reached > 0
+	s.attempts++
+	if to.domain != vm.domain {
+		s.crossed++
+	}
+	began := s.now
+	s.after(s.way(vm, to), func() {
+		s.arrive(vm, to, k, c, func(r outcome.Result) {
+			s.after(s.way(vm, to), func() {
+				if r.Outcome == outcome.Answered {
+					in.picker.Note(c.route.Name, 5000, s.now.Sub(began))
+				}
+				in.picker.Observe(u, c.attempt.Urgency, r)
+				in.picker.Finished(u)
+				t.add(u, r)
+				if !in.mayRetry(c, t) {
+					done(t.best())
+					return
+				}
+				s.attempt(vm, k, c, t, done)
+			})
+		})
+	})
+}
+
+// arrive brings an attempt to its owner.
+func (s *fleetSim) arrive(vm, to *simVM, k *simKind, c *call, reply func(outcome.Result)) {
+	ask := askOf(&c.attempt)
+	refuse := func(reason outcome.Reason, after time.Duration) {
+		r := outcome.Refuse(reason, after)
+		r.Load, r.HasLoad = to.gate.Load(), true
+		reply(r)
+	}
+	if reason := s.mayEnter(vm, to, c); reason != "" {
+		refuse(reason, 0)
+		return
+	}
+	w, reason, after := to.gate.Enter(ask)
+	switch {
+	case w == nil && reason == "":
+		s.work(to, k, c, ask, reply)
+	case w == nil:
+		refuse(reason, after)
+	default:
+		to.waiting = append(to.waiting, &simWait{w: w, decided: func(reason outcome.Reason) {
+			if reason != "" {
+				refuse(reason, to.gate.RetryAfter())
+				return
+			}
+			s.work(to, k, c, ask, reply)
+		}})
+		s.after(ask.Deadline.Sub(s.now)-admission.AnswerMargin, func() {
+			to.gate.Quit(w, outcome.ReasonDeadline)
+			s.settle(to)
+		})
+	}
+	s.settle(to)
+}
+
+// settle goes on with whoever a gate has decided on.
+func (s *fleetSim) settle(vm *simVM) {
+	var rest, decided []*simWait
+	for _, w := range vm.waiting {
+		select {
+		case <-w.w.Decided():
+			decided = append(decided, w)
+		default:
+			rest = append(rest, w)
+		}
+	}
+	vm.waiting = rest
+	for _, w := range decided {
+		w.decided(w.w.Refused())
+	}
+}
+
+// simParent is the run that makes a nested call.
+type simParent struct {
+	// lot is that of the request.
+	lot      float64
+	repeated bool
+	urgency  config.Urgency
+	vm       *simVM
+}
+
+// work runs an attempt at an upstream.
+func (s *fleetSim) work(vm *simVM, k *simKind, c *call, a admission.Ask, reply func(outcome.Result)) {
+	if c.attempt.Repeated {
+		s.repeatsAt[vm.service]++
+	}
+	if vm.down {
+		vm.gate.Release(0)
+		reply(outcome.Refuse(outcome.ReasonUnreachable, outcome.MinRetryAfter))
+		s.settle(vm)
+		return
+	}
+	if s.rng.Float64() < s.sheds[vm.service] {
+		vm.gate.Release(0)
+		reply(outcome.Refuse(outcome.ReasonShed, 0))
+		s.settle(vm)
+		return
+	}
+	sigma := math.Sqrt(math.Log(1 + k.spread*k.spread))
+	factor := math.Exp(sigma*s.rng.NormFloat64() - sigma*sigma/2)
+	took := time.Duration(float64(k.work) * factor / vm.speed * s.crowding(vm))
+	began := s.now
+	parent := &simParent{urgency: a.Urgency, vm: vm, lot: s.rng.Float64(), repeated: c.attempt.Repeated}
+	over := false
+	leave, heldBack := s.enter(vm, k, c, func() {
+		over = true
+		vm.gate.Release(s.now.Sub(began))
+		reply(outcome.Unsure(outcome.ReasonEnded, nil))
+	})
+	if heldBack != "" {
+		vm.gate.Release(0)
+		reply(outcome.Refuse(heldBack, 0))
+		s.settle(vm)
+		return
+	}
+	end := func(status int) {
+		if over {
+			return
+		}
+		over = true
+		leave(status)
+		spent := s.now.Sub(began)
+		load := vm.gate.LoadAfter(spent)
+		vm.gate.Release(spent)
+		reply(outcome.Result{Outcome: outcome.Answered, Status: status, Body: http.NoBody, Load: load, HasLoad: true})
+		s.settle(vm)
+	}
+	open := 1
+	step := func() {
+		if open--; open == 0 {
+			end(http.StatusOK)
+		}
+	}
+	if k.callOf != nil && s.rng.Float64() < k.callPart {
+		open += k.calls
+		for range k.calls {
+			nested := k.callOf
+			nested.asked++
+			until := s.now.Add(nested.deadline)
+			if a.Deadline.Before(until) {
+				until = a.Deadline
+			}
+			s.carry(vm, nested, s.pathOf(nested), until, s.now.Add(nested.route.Policy.Objective), parent, func(r outcome.Result) {
+				switch {
+				case r.Outcome == outcome.Answered && r.Status < 500:
+					nested.inTime++
+					step()
+				case r.Outcome == outcome.NotRun:
+					nested.refused++
+					end(http.StatusInternalServerError)
+				default:
+					nested.failed++
+					end(http.StatusInternalServerError)
+				}
+			})
+		}
+	}
+	s.after(took, step)
+}
+
+// crowding is how much longer runs take at an upstream that is nearly full.
+func (s *fleetSim) crowding(vm *simVM) float64 {
+	share := float64(vm.gate.Load().InFlight) / simSlots
+	return 1 + 0.1*math.Pow(share, 4)
+}
+
+// worth is what callers got of what they were owed, calls of all kinds counted alike.
+func (s *fleetSim) worth() float64 {
+	got, owed := 0.0, 0.0
+	for _, k := range s.kinds {
+		if k.perVM == 0 {
+			continue
+		}
+		got += float64(k.inTime) + k.late*float64(k.lateN)
+		owed += float64(k.asked)
+	}
+	return got / owed
+}
--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -2,13 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -21,7 +18,6 @@
 
 	"github.com/comfreygate/comfreygate/api"
 	"github.com/comfreygate/comfreygate/internal/agent"
-	"github.com/comfreygate/comfreygate/internal/devlog"
 	"github.com/comfreygate/comfreygate/itest/fault"
 )
 
@@ -356,142 +352,3 @@
 		})
 	}
 }
-
-// Cut drops everything between VMs of different failure domains for which
-// apart returns true, and heals the rest.
-func (c *Cluster) Cut(apart func(a, b string) bool) {
-	domains := map[string]string{}
-	for _, v := range c.VMs {
-		domains[v.IP] = v.Domain
-	}
-	for _, v := range c.VMs {
-		rule := func(ip string) fault.Rule {
-			cut := apart(domains[ip], v.Domain)
-			return fault.Rule{DropUp: cut, DropDown: cut}
-		}
-		v.Peers.Set(rule)
-		v.Owner.Set(rule)
-	}
-}
-
-// CutLog drops everything between the log and the VMs of failure domains for
-// which cut returns true.
-func (c *Cluster) CutLog(cut func(domain string) bool) {
-	domains := map[string]string{}
-	for _, v := range c.VMs {
-		domains[v.IP] = v.Domain
-	}
-	c.LogProxy.Set(func(ip string) fault.Rule {
-		drop := cut(domains[ip])
-		return fault.Rule{DropUp: drop, DropDown: drop}
-	})
-}
-
-// LogFaults makes the log itself fail.
-func (c *Cluster) LogFaults(f devlog.Faults) {
-	c.T.Helper()
-	b, err := json.Marshal(f)
-	if err != nil {
-		c.T.Fatal(err)
-	}
-	c.logDo(http.MethodPut, "/faults", b)
-}
-
-// ExpireLog makes the log forget all but the last keep records of a stream.
-func (c *Cluster) ExpireLog(stream string, keep int) {
-	c.T.Helper()
-	c.logDo(http.MethodPost, fmt.Sprintf("/expire/%s?keep=%d", stream, keep), nil)
-}
-
-// ResetLog makes the log lose everything; offsets begin again.
-func (c *Cluster) ResetLog() { c.logDo(http.MethodPost, "/reset", nil) }
-
-func (c *Cluster) logDo(method, path string, body []byte) {
-	c.T.Helper()
-	req, err := http.NewRequest(method, c.LogURL+path, bytes.NewReader(body))
-	if err != nil {
-		c.T.Fatal(err)
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		c.T.Fatal(err)
-	}
-	res.Body.Close()
-}
-
-// LogCounts returns how often the log was used.
-func (c *Cluster) LogCounts() devlog.Counts {
-	c.T.Helper()
-	var n devlog.Counts
-	res, err := http.Get(c.LogURL + "/counts")
-	if err != nil {
-		c.T.Fatal(err)
-	}
-	defer res.Body.Close()
-	if err := json.NewDecoder(res.Body).Decode(&n); err != nil {
-		c.T.Fatal(err)
-	}
-	return n
-}
-
-// Answer is what a caller got.
-type Answer struct {
-	// Addr is where the daemon took calls: each of its lives has its own.
-	Addr    string
-	Status  int
-	Outcome string
-	Reason  string
-	Header  http.Header
-	Body    string
-	// Close is set if the daemon asked to close the connection.
-	Close bool
-	// Err is set if the connection broke: the caller knows nothing.
-	Err error
-}
-
-// Call is a call to make.
-type Call struct {
-	Method string
-	Path   string
-	ID     string
-	Caller string
-	Body   string
-	Header map[string]string
-}
-
-// NewCaller returns a client that comes from a caller outside the VMs.
-func NewCaller() *http.Client {
-	return &http.Client{
-		Timeout: Patience,
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: 256, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-		},
-	}
-}
-
-// Send makes a call through the VM's daemon.
-func (v *VM) Send(client *http.Client, call Call) Answer {
-	addr := *v.callers.Load()
-	req, err := http.NewRequest(call.Method, "http://"+addr+call.Path, strings.NewReader(call.Body))
-	if err != nil {
-		return Answer{Addr: addr, Err: err}
-	}
-	req.Header.Set("Comfrey-Caller", call.Caller)
-	if call.ID != "" {
-		req.Header.Set("Comfrey-Request-Id", call.ID)
-	}
-	for name, value := range call.Header {
-		req.Header.Set(name, value)
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		return Answer{Addr: addr, Err: err}
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(res.Body)
-	return Answer{
-		Addr: addr, Status: res.StatusCode, Outcome: res.Header.Get("Comfrey-Outcome"), Reason: res.Header.Get("Comfrey-Reason"),
-		Header: res.Header, Body: string(b), Close: res.Close, Err: err,
-	}
-}
--- /dev/null
+++ b/itest/harness/faults.go
@@ -0,0 +1,88 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/comfreygate/comfreygate/internal/devlog"
+	"github.com/comfreygate/comfreygate/itest/fault"
+)
+
+// Cut drops everything between VMs of different failure domains for which
+// apart returns true, and heals the rest.
+func (c *Cluster) Cut(apart func(a, b string) bool) {
+	domains := map[string]string{}
+	for _, v := range c.VMs {
+		domains[v.IP] = v.Domain
+	}
+	for _, v := range c.VMs {
+		rule := func(ip string) fault.Rule {
+			cut := apart(domains[ip], v.Domain)
+			return fault.Rule{DropUp: cut, DropDown: cut}
+		}
+		v.Peers.Set(rule)
+		v.Owner.Set(rule)
+	}
+}
+
+// CutLog drops everything between the log and the VMs of failure domains for
+// which cut returns true.
+func (c *Cluster) CutLog(cut func(domain string) bool) {
+	domains := map[string]string{}
+	for _, v := range c.VMs {
+		domains[v.IP] = v.Domain
+	}
+	c.LogProxy.Set(func(ip string) fault.Rule {
+		drop := cut(domains[ip])
+		return fault.Rule{DropUp: drop, DropDown: drop}
+	})
+}
+
+// LogFaults makes the log itself fail.
+func (c *Cluster) LogFaults(f devlog.Faults) {
+	c.T.Helper()
+	b, err := json.Marshal(f)
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	c.logDo(http.MethodPut, "/faults", b)
+}
+
+// ExpireLog makes the log forget all but the last keep records of a stream.
+func (c *Cluster) ExpireLog(stream string, keep int) {
+	c.T.Helper()
+	c.logDo(http.MethodPost, fmt.Sprintf("/expire/%s?keep=%d", stream, keep), nil)
+}
+
+// ResetLog makes the log lose everything; offsets begin again.
+func (c *Cluster) ResetLog() { c.logDo(http.MethodPost, "/reset", nil) }
+
+func (c *Cluster) logDo(method, path string, body []byte) {
+	c.T.Helper()
+	req, err := http.NewRequest(method, c.LogURL+path, bytes.NewReader(body))
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	res.Body.Close()
+}
+
+// LogCounts returns how often the log was used.
+func (c *Cluster) LogCounts() devlog.Counts {
+	c.T.Helper()
+	var n devlog.Counts
+	res, err := http.Get(c.LogURL + "/counts")
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	defer res.Body.Close()
+	if err := json.NewDecoder(res.Body).Decode(&n); err != nil {
+		c.T.Fatal(err)
+	}
+	return n
+}
