One check for a quarantine, one way to give a slot back

That a request is in quarantine was looked up in three places and its answer made in another, with two locks each: one function does both. What an upstream works at was left in two places beside the giving back of the slot: giveBack does it. What makes a record valid stood at the table and at the reader of the store.

--- a/internal/agent/quarantine.go
+++ b/internal/agent/quarantine.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		var r suspect.Record
-		if json.Unmarshal(e.Data, &r) != nil || r.Digest.String() != e.Key || len(r.Ends) > suspect.Enough {
+		if json.Unmarshal(e.Data, &r) != nil || !r.Valid() || r.Digest.String() != e.Key {
 			foreign++
 			continue
 		}
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -16,7 +16,6 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
-	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -300,8 +299,8 @@
 		done(in.outOfTime(*t))
 		return
 	}
-	if endsUnder(vm.suspects, &c.attempt) >= suspect.Enough {
-		done(t.exhausted(quarantined(vm.suspects, &c.attempt, s.now)))
+	if refusal, held := quarantined(vm.suspects, &c.attempt, s.now); held {
+		done(t.exhausted(refusal))
 		return
 	}
 	u, refusal, ok := in.next(c, t.upstreams)
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -229,9 +229,9 @@
 		if !in.cfg.Now().Before(c.attempt.Deadline) {
 			return in.outOfTime(t)
 		}
-		if endsUnder(in.cfg.Suspects, &c.attempt) >= suspect.Enough {
+		if refusal, held := quarantined(in.cfg.Suspects, &c.attempt, in.cfg.Now()); held {
 			in.cfg.Metrics.Quarantined.Inc(1)
-			return t.exhausted(quarantined(in.cfg.Suspects, &c.attempt, in.cfg.Now()))
+			return t.exhausted(refusal)
 		}
 		u, refusal, ok := in.next(c, t.upstreams)
 		if !ok {
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -30,9 +30,9 @@
 // admit waits for a slot and runs an attempt that was accepted when the process
 // had stalled so many times.
 func (o *Owner) admit(ctx context.Context, loc *local, a *Attempt, stalls int64) outcome.Result {
-	if endsUnder(o.cfg.Suspects, a) >= suspect.Enough {
+	if refusal, held := quarantined(o.cfg.Suspects, a, o.cfg.Now()); held {
 		o.ledger.abandon(a.ID)
-		return o.refused(a, quarantined(o.cfg.Suspects, a, o.cfg.Now()))
+		return o.refused(a, refusal)
 	}
 	reason, after := loc.gate.Acquire(ctx, askOf(a))
 	if reason != "" {
@@ -46,15 +46,14 @@
 		return o.giveBack(loc, a, refusal)
 	}
 	if !o.ledger.start(a.ID) {
-		loc.runs.leave(a)
-		loc.gate.Release(0)
-		return o.refused(a, outcome.Refuse(outcome.ReasonVoided, 0))
+		return o.giveBack(loc, a, outcome.Refuse(outcome.ReasonVoided, 0))
 	}
 	return o.run(ctx, loc, a)
 }
 
 // giveBack refuses an attempt that has a slot and does not use it.
 func (o *Owner) giveBack(loc *local, a *Attempt, r outcome.Result) outcome.Result {
+	loc.runs.leave(a)
 	loc.gate.Release(0)
 	o.ledger.abandon(a.ID)
 	return o.refused(a, r)
@@ -118,10 +117,9 @@
 		return o.failed(ctx, loc, a, began, err)
 	}
 	if r, refused := o.cfg.Dialect.refusal(res); refused {
-		loc.runs.leave(a)
 		// The rest of a refusal's body is of no use to anybody.
 		res.Body.Close()
-		return o.giveBack(loc, a, o.withLoad(r, loc))
+		return o.withLoad(o.giveBack(loc, a, r), loc)
 	}
 	body := &answerBody{ReadCloser: res.Body, read: func(err error) { o.noteRead(ctx, loc, a, res.StatusCode, err) }, done: func() {
 		loc.runs.leave(a)
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -20,36 +20,45 @@
 // request which ended nothing ends with the next answer of a copy that was running.
 const quarantineSettles = time.Second
 
-// quarantined is the answer to a request that is run no more. Once the quarantine stands,
-// to come back soon serves nobody: it takes a repair of the upstream, or of the caller.
-func quarantined(t *suspect.Table, a *Attempt, now time.Time) outcome.Result {
-	rec, _ := t.Record(a.digest())
+// quarantined reports whether an attempt's request is run no more, and the answer to it.
+// Once the quarantine stands, to come back soon serves nobody: it takes a repair of the
+// upstream, or of the caller.
+func quarantined(t *suspect.Table, a *Attempt, now time.Time) (outcome.Result, bool) {
+	rec := recordOf(t, a)
+	if !rec.Quarantined() {
+		return outcome.Result{}, false
+	}
 	if left := quarantineSettles - now.Sub(time.UnixMilli(rec.At)); left > 0 {
-		return outcome.Refuse(outcome.ReasonQuarantined, min(left, quarantineSettles))
+		return outcome.Refuse(outcome.ReasonQuarantined, min(left, quarantineSettles)), true
 	}
-	return outcome.Refuse(outcome.ReasonQuarantined, outcome.MaxRetryAfter)
+	return outcome.Refuse(outcome.ReasonQuarantined, outcome.MaxRetryAfter), true
 }
 
 // triedRetry is when a copy of a suspect that is being tried may come back: by then most
 // runs have ended, one way or the other.
 const triedRetry = 100 * time.Millisecond
 
-// endsUnder returns how many upstreams have ended under an attempt's request.
-func endsUnder(t *suspect.Table, a *Attempt) int {
+// recordOf returns what is known of an attempt's request. Where nothing is suspected the
+// request is not even hashed.
+func recordOf(t *suspect.Table, a *Attempt) suspect.Record {
 	if !t.Any() {
-		return 0
+		return suspect.Record{}
 	}
-	return t.Ends(a.digest())
+	rec, _ := t.Record(a.digest())
+	return rec
 }
 
+// endsUnder returns how many upstreams have ended under an attempt's request.
+func endsUnder(t *suspect.Table, a *Attempt) int { return len(recordOf(t, a).Ends) }
+
 // stepFrom is how many ends a request has that is a step from quarantine.
 const stepFrom = suspect.Enough - 1
 
 // heldBack refuses an attempt that must not run here for what has ended under its request.
 // Without a reason it runs, until it leaves loc.runs.
 func (o *Owner) heldBack(loc *local, a *Attempt) outcome.Result {
-	if endsUnder(o.cfg.Suspects, a) >= suspect.Enough {
-		return quarantined(o.cfg.Suspects, a, o.cfg.Now())
+	if refusal, held := quarantined(o.cfg.Suspects, a, o.cfg.Now()); held {
+		return refusal
 	}
 	switch reason := loc.runs.enter(o.cfg.Suspects, a); reason {
 	case "":
@@ -93,7 +102,7 @@
 	if len(a.Body) < outcome.LongBody {
 		o.recent.Add(a.digest())
 	}
-	if endsUnder(o.cfg.Suspects, a) > 0 {
+	if o.cfg.Suspects.Any() {
 		o.cfg.Suspects.Answered(a.digest())
 	}
 }
@@ -101,10 +110,10 @@
 // tellSuspect puts what is known of an attempt's request into a message's headers, if an
 // upstream has ended under it: the daemon at the other end knows it then before it acts.
 func tellSuspect(h http.Header, t *suspect.Table, a *Attempt) {
-	if endsUnder(t, a) == 0 {
+	rec := recordOf(t, a)
+	if len(rec.Ends) == 0 {
 		return
 	}
-	rec, _ := t.Record(a.digest())
 	if b, err := json.Marshal(rec); err == nil {
 		h.Set(headerSuspect, string(b))
 	}
--- a/internal/suspect/digest.go
+++ b/internal/suspect/digest.go
@@ -14,7 +14,8 @@
 // caller, method, host, path, query and body. The host is empty where routes take any.
 type Digest uint64
 
-// Of returns the digest of a request. It allocates nothing and reads the body once, at about 10 GB/s.
+// Of returns the digest of a request. It allocates nothing and reads the body once, at
+// about 10 GB/s.
 func Of(caller, method, host, path, query string, body []byte) Digest {
 	var h xxhash.Digest
 	h.Reset()
@@ -29,15 +30,6 @@
 	return Digest(h.Sum64())
 }
 
-// numbers returns numbers as bytes to be hashed.
-func numbers(words ...uint64) []byte {
-	b := make([]byte, 0, 8*len(words))
-	for _, w := range words {
-		b = binary.BigEndian.AppendUint64(b, w)
-	}
-	return b
-}
-
 // String returns 16 hexadecimal digits, as in logs and messages.
 func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
 
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -55,6 +56,9 @@
 // Quarantined reports whether the request is run no more.
 func (r Record) Quarantined() bool { return len(r.Ends) >= Enough }
 
+// Valid reports whether a record can be of a table's making.
+func (r Record) Valid() bool { return r.Digest != 0 && len(r.Ends) <= Enough }
+
 // merged returns what two records of a request say together.
 func (r Record) merged(o Record) Record {
 	switch {
@@ -80,6 +84,15 @@
 // Expired reports whether a record is out of date.
 func (r Record) Expired(now time.Time) bool { return now.UnixMilli()-r.At > Keep.Milliseconds() }
 
+// numbers returns numbers as bytes to be hashed.
+func numbers(words ...uint64) []byte {
+	b := make([]byte, 0, 8*len(words))
+	for _, w := range words {
+		b = binary.BigEndian.AppendUint64(b, w)
+	}
+	return b
+}
+
 // hash returns a number that differs between records that are not the same.
 func (r Record) hash() uint64 {
 	words := []uint64{uint64(r.Digest), uint64(r.Round)}
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -117,7 +117,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	if o.Digest == 0 || o.Expired(now) || len(o.Ends) > Enough {
+	if !o.Valid() || o.Expired(now) {
 		return false
 	}
 	if o.At > now.Add(skew).UnixMilli() {
