The version of an upstream's software is known where calls are decided

Heartbeats told it and it was dropped. It is a property of the upstream now, in members' records, in the view, in show upstreams and in the lines of retries; announcements of the product's own interface may name it. Nothing follows from it yet.

--- a/internal/admin/query.go
+++ b/internal/admin/query.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -152,7 +153,7 @@
 // upstreams shows every upstream known, and the load of those on this VM, where
 // it is counted, and of those that calls from here have reached lately.
 func upstreams(s source) result {
-	r := result{columns: []string{"upstream", "service", "domain", "state", "slots", "in-flight", "queued", "service-time"}}
+	r := result{columns: []string{"upstream", "service", "version", "domain", "state", "slots", "in-flight", "queued", "service-time"}}
 	s.eachMember(func(m wire.Member, state string, _ time.Duration) {
 		for _, u := range m.Upstreams {
 			st := state
@@ -163,7 +164,7 @@
 			if l, ok := s.loads[u.ID]; ok {
 				inFlight, queued, took = strconv.Itoa(l.InFlight), strconv.Itoa(l.Queued), l.Service.String()
 			}
-			r.add(u.ID, u.Service, m.Domain, st, strconv.Itoa(u.Slots), inFlight, queued, took)
+			r.add(u.ID, u.Service, cmp.Or(u.Version, "-"), m.Domain, st, strconv.Itoa(u.Slots), inFlight, queued, took)
 		}
 	})
 	return r
--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -24,6 +24,8 @@
 	// a restarted upstream is not taken for the one that left. Any text.
 	Life    string `json:"life"`
 	Service string `json:"service"`
+	// Version is that of its software, any text, or "".
+	Version string `json:"version"`
 	// Addr is where the upstream takes calls, as IP:port.
 	Addr string `json:"addr"`
 	// Slots is how many calls it runs at once.
@@ -49,6 +51,8 @@
 const (
 	maxAnnouncement = 4096
 	maxSlots        = 10_000
+	// maxVersion bounds a version, in bytes.
+	maxVersion = 255
 	// renewsPerLapse is how often an upstream renews its announcement within
 	// the time after which it would be gone.
 	renewsPerLapse = 3
@@ -61,6 +65,8 @@
 		return errors.Errorf("id %q: lower-case letters, digits, dots and dashes, at most 63", n.ID)
 	case !config.ValidName(n.Service):
 		return errors.Errorf("service %q: lower-case letters, digits, dots and dashes, at most 63", n.Service)
+	case len(n.Version) > maxVersion:
+		return errors.Errorf("version: at most %d bytes", maxVersion)
 	case err != nil || net.ParseIP(host) == nil:
 		return errors.Errorf("addr %q must be IP:port", n.Addr)
 	case n.Slots < 1 || n.Slots > maxSlots:
@@ -114,7 +120,7 @@
 func (a *Agent) Announce(n Announcement) {
 	name := a.upstreamName(n.ID)
 	a.input(system.Announced{Local: table.Local{
-		Upstream: wire.Upstream{ID: lifeID(name, n.Born), Service: n.Service, Slots: n.Slots, Draining: n.Draining},
+		Upstream: wire.Upstream{ID: lifeID(name, n.Born), Service: n.Service, Version: n.Version, Slots: n.Slots, Draining: n.Draining},
 		Name:     name, Life: n.Life, Born: n.Born, Addr: n.Addr, Conns: n.Connections, Process: n.Process, Sequence: n.Sequence,
 	}})
 	a.Inspect(nothing)
--- a/internal/callpath/log.go
+++ b/internal/callpath/log.go
@@ -84,6 +84,6 @@
 	if !mayLog(in.cfg.Logger, &in.retryLines, in.cfg.Now(), "retry") {
 		return
 	}
-	in.callFields(in.cfg.Logger.Info(), c, r).Str("step", "retry").Str("peer", u.ID).Int("status", r.Status).Err(r.Err).
+	in.callFields(in.cfg.Logger.Info(), c, r).Str("step", "retry").Str("peer", u.ID).Str("upstream_version", u.Version).Int("status", r.Status).Err(r.Err).
 		Msg("attempt failed, trying another upstream")
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -18,6 +18,7 @@
 type Upstream struct {
 	ID      string
 	Service string
+	Version string
 	Slots   int
 	Since   time.Time
 	// Daemon owns the upstream, at address Owner.
@@ -98,7 +99,7 @@
 			continue
 		}
 		s.Upstreams = append(s.Upstreams, Upstream{
-			ID: u.ID, Service: u.Service, Slots: u.Slots, Since: time.UnixMilli(u.Since),
+			ID: u.ID, Service: u.Service, Version: u.Version, Slots: u.Slots, Since: time.UnixMilli(u.Since),
 			Daemon: m.ID, Incarnation: m.Incarnation, Domain: m.Domain, Owner: m.Owner, Local: local,
 		})
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -14,6 +14,8 @@
 type Upstream struct {
 	ID      string `json:"id"`
 	Service string `json:"service"`
+	// Version is that of the upstream's software, or "" if it was not told.
+	Version string `json:"version,omitempty"`
 	// Slots is how many calls the upstream runs at once.
 	Slots int `json:"slots"`
 	// Since is when the upstream announced itself, in Unix milliseconds of
