--- a/internal/devlog/devlog.go
+++ b/internal/devlog/devlog.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -82,6 +84,12 @@
 	return err
 }
 
+// AppendKeyedAt implements store.Log.
+func (l *Log) AppendKeyedAt(ctx context.Context, topic, key string, data []byte, at uint64) error {
+	_, err := l.appendAt(ctx, topic, store.Entry{Key: key, Data: data}, &at)
+	return err
+}
+
 // Newest implements store.Log.
 func (l *Log) Newest(ctx context.Context, topic string) (store.Newest, error) {
 	if err := l.enter(ctx); err != nil {
@@ -99,6 +107,11 @@
 }
 
 func (l *Log) append(ctx context.Context, name string, e store.Entry) (uint64, error) {
+	return l.appendAt(ctx, name, e, nil)
+}
+
+// appendAt appends if the stream ends at that offset, or anywhere if at is nil.
+func (l *Log) appendAt(ctx context.Context, name string, e store.Entry, at *uint64) (uint64, error) {
 	if err := l.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -107,10 +120,16 @@
 	l.counts.Appends++
 	s := l.stream(name)
 	offset := s.end()
+	if at != nil && *at != offset {
+		return 0, &store.StatusError{Status: http.StatusPreconditionFailed, Body: fmt.Sprintf(`{"end":%d}`, offset)}
+	}
 	e.Offset = offset
 	s.entries = append(s.entries, e)
-	if e.Key != "" {
+	switch {
+	case e.Key != "" && len(e.Data) > 0:
 		s.newest[e.Key] = e
+	case e.Key != "":
+		delete(s.newest, e.Key)
 	}
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/internal/devlog/http.go
+++ b/internal/devlog/http.go
@@ -37,9 +37,20 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	at, err := optionalOffset(r.URL.Query().Get("at"))
+	if err != nil {
+		http.Error(w, "at: "+err.Error(), http.StatusBadRequest)
+		return
+	}
 	var out store.Appended
 	for i, e := range entries {
-		offset, err := l.append(r.Context(), topic, e)
+		offset, err := l.appendAt(r.Context(), topic, e, at)
+		at = nil // the others follow the first
+		var refused *store.StatusError
+		if errors.As(err, &refused) {
+			http.Error(w, refused.Body, refused.Status)
+			return
+		}
 		if errors.Is(err, errLost) {
 			panic(http.ErrAbortHandler) // done, and the answer is lost
 		}
@@ -55,6 +66,15 @@
 	writeJSON(w, out)
 }
 
+// optionalOffset reads an offset, or nil if there is none.
+func optionalOffset(text string) (*uint64, error) {
+	if text == "" {
+		return nil, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return &n, err
+}
+
 func entriesOf(topic string, body []byte) ([]store.Entry, error) {
 	records, err := store.DecodeRecords(body)
 	if err != nil {
