Roll-outs, carried out: orders, shares, evidence, one verdict for all

The platform puts roll-outs in force (op/rollout/SERVICE, status/rollout/SERVICE) and nothing of it existed. Roots read orders with the configuration; all daemons learn them as news; each applies the share to its own calls; what they see goes up the tree and every root judges it.

In virtual time, 24 histories with faults on 15 daemons: all bad versions reverted within their part, all good ones completed.

A service without a roll-out pays a test of a nil pointer a call.

--- a/cmd/comfreyd/platform.go
+++ b/cmd/comfreyd/platform.go
@@ -20,7 +20,8 @@
 	opts := agent.Options{Log: log, Logger: logger, Dialect: callpath.DefaultDialect()}
 	if s.Platform.Enabled() {
 		opts.Dialect = platform.Dialect()
-		opts.Source = platform.NewSource(log)
+		opts.Source = platform.NewSource(log, logger)
+		opts.Teller = platform.NewStatuses(log)
 	}
 	return opts
 }
--- a/internal/admin/query.go
+++ b/internal/admin/query.go
@@ -50,6 +50,7 @@
 	"unknown":  unknowns,
 	"alarms":   alarms,
 	"suspects": suspects,
+	"rollouts": rollouts,
 }
 
 // query answers a query from this daemon's tables.
--- /dev/null
+++ b/internal/admin/rollouts.go
@@ -0,0 +1,43 @@
+package admin
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/comfreygate/comfreygate/internal/rollout"
+)
+
+// rollouts shows the last roll-out of each service, and what was seen of it where it is
+// judged.
+func rollouts(s source) result {
+	r := result{columns: []string{"service", "target", "order", "phase", "age", "of", "share", "new", "others", "why"}}
+	for _, service := range slices.Sorted(maps.Keys(s.world.Rollouts)) {
+		ro := s.world.Rollouts[service]
+		age := s.now.Sub(ro.Since)
+		tally := ro.Tally()
+		r.add(service, ro.Target, number(ro.ID), ro.Phase.String(), age.Truncate(time.Second).String(), ro.Duration.String(),
+			s.share(ro.Record, ro.Stop, age), counted(tally.Sum(true)), counted(tally.Sum(false)), cmp.Or(ro.Why, ro.Stop, "-"))
+	}
+	return r
+}
+
+// share says what part of the calls the new version may get now.
+func (s source) share(r rollout.Record, stop string, age time.Duration) string {
+	switch {
+	case r.Phase == rollout.Reverted || stop != "":
+		return "0%"
+	case r.Phase != rollout.Trying:
+		return "100%"
+	}
+	plan := s.world.Plan(r.Duration)
+	target, others := s.world.UpstreamsOf(r.Service, r.Target)
+	tried := plan.AtOnce(len(plan.Choose(target, others)), others)
+	return fmt.Sprintf("%.1f%%", 100*plan.Share(age, tried, others))
+}
+
+func counted(c rollout.Count) string {
+	return fmt.Sprintf("%d answers, %d failed, %d of %d slow", c.N, c.Failed, c.Slow, c.Timed)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/peer"
+	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/settings"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/system"
@@ -39,8 +40,9 @@
 // elsewhere, as whole documents.
 type DocumentSource interface {
 	// Next returns the newest document: the first time at once, then as soon
-	// as there is a later one or wait has passed.
-	Next(ctx context.Context, wait time.Duration) (config.Document, error)
+	// as there is a later one or wait has passed; and the orders for roll-outs that it
+	// read with it, also where the document cannot be used.
+	Next(ctx context.Context, wait time.Duration) (config.Document, []rollout.Order, error)
 }
 
 // Options are what a daemon is made of besides its settings.
@@ -50,6 +52,8 @@
 	// Source delivers the configuration. Nil: it is made by commands on the
 	// log.
 	Source DocumentSource
+	// Teller lets operators read how far roll-outs have come. Nil: they ask a daemon.
+	Teller Teller
 	// Dialect names the headers spoken with callers and upstreams.
 	Dialect callpath.Dialect
 }
@@ -61,6 +65,7 @@
 	logger   zerolog.Logger
 	metrics  metrics.Registry
 	source   DocumentSource
+	teller   Teller
 	self     wire.Member
 	clock    *event.Clock
 	events   *event.Ring
@@ -85,10 +90,12 @@
 	reading  atomic.Bool
 	// readingQuarantine is set while a read of quarantined requests waits at the store.
 	readingQuarantine atomic.Bool
-	stop              context.Context
-	end               context.CancelFunc
-	running           sync.WaitGroup
-	killed            sync.Once
+	// readingRollouts is set while the store's records of roll-outs are read.
+	readingRollouts atomic.Bool
+	stop            context.Context
+	end             context.CancelFunc
+	running         sync.WaitGroup
+	killed          sync.Once
 }
 
 // listeners are the daemon's open listeners.
@@ -117,7 +124,7 @@
 	}
 	now := time.Now()
 	a := &Agent{
-		settings: s, log: opts.Log, logger: opts.Logger, source: opts.Source, metrics: metrics.NewRegistry(),
+		settings: s, log: opts.Log, logger: opts.Logger, source: opts.Source, teller: opts.Teller, metrics: metrics.NewRegistry(),
 		clock: event.NewClock(time.Now), listeners: ls,
 		inputs: make(chan system.Input, inputQueue),
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -140,6 +140,7 @@
 	a.commands.settle(a.world.Config.State)
 	a.useLog(out)
 	a.useQuarantine(out)
+	a.useRollouts(out)
 }
 
 // note keeps an event and logs the ones an operator should see.
@@ -149,10 +150,10 @@
 	switch e.Kind {
 	case event.Alarm:
 		level = a.logger.Error()
-	case event.LogDown, event.LinkLost, event.UpstreamGone, event.Quarantined:
+	case event.LogDown, event.LinkLost, event.UpstreamGone, event.Quarantined, event.RolloutStopped, event.RolloutRefused:
 		level = a.logger.Warn()
 	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining,
-		event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged:
+		event.Rollout, event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged:
 		level = a.logger.Info()
 	}
 	level.Str("step", string(e.Kind)).Str("peer", e.Peer).Str("service", e.Service).
@@ -190,11 +191,14 @@
 
 // readDocument waits for a document later than the last one read.
 func (a *Agent) readDocument(wait time.Duration) {
-	doc, err := a.source.Next(a.stop, wait)
+	doc, orders, err := a.source.Next(a.stop, wait)
 	if err != nil {
 		sleep(a.stop, readRetry)
 	}
 	a.reading.Store(false)
+	if len(orders) > 0 {
+		a.input(system.Ordered{Orders: orders})
+	}
 	a.input(system.DocumentRead{Document: doc, Err: err})
 }
 
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -268,7 +268,7 @@
 		if endsUnder(in.cfg.Suspects, &c.attempt) > 0 {
 			n.Home = c.attempt.digest().String()
 		}
-		return in.picker.Pick(c.service, n)
+		return in.pick(c, n)
 	}
 	if len(tried) > 0 {
 		// Another upstream could not know of copies sent to the first.
@@ -282,6 +282,42 @@
 	return in.picker.Pick(only, in.need(c, nil))
 }
 
+// pick returns the upstream for the next attempt: of the part of the service that this
+// call goes to, while a version is rolled out. Only a first attempt tries the new version,
+// so that a call fails under it once at the most.
+func (in *Ingress) pick(c *call, n pick.Need) (view.Upstream, outcome.Result, bool) {
+	split := c.service.Split
+	if split == nil {
+		return in.picker.Pick(c.service, n)
+	}
+	now := in.cfg.Now()
+	if len(n.Tried) == 0 {
+		if trial := split.Trial(now); trial != nil {
+			if u, refusal, ok := in.picker.Pick(trial, n); ok {
+				return u, refusal, ok
+			}
+		}
+	}
+	u, refusal, ok := in.picker.Pick(c.service, n)
+	if fallback := split.Fallback(now); !ok && fallback != nil {
+		return in.picker.Pick(fallback, n)
+	}
+	return u, refusal, ok
+}
+
+// noteRan counts an attempt as evidence for or against a version that is rolled out.
+func (in *Ingress) noteRan(c *call, u view.Upstream, r outcome.Result, took time.Duration) {
+	split := c.service.Split
+	if split == nil || !r.Ran() {
+		return
+	}
+	ran := view.Ran{Route: c.route.Name, Upstream: u, Failed: r.Outcome != outcome.Answered || failed(r)}
+	if !ran.Failed {
+		ran.Took, ran.Usual = took, c.attempt.Usual
+	}
+	split.Note(in.cfg.Now(), ran)
+}
+
 // bytesPerMB converts the setting's unit.
 const bytesPerMB = 1e6
 
@@ -321,6 +357,7 @@
 			in.picker.Note(c.route.Name, size, in.cfg.Now().Sub(began))
 		}
 	}
+	in.noteRan(c, u, r, in.cfg.Now().Sub(began))
 	in.picker.Observe(u, a.Urgency, r)
 	if r.Outcome == outcome.Answered {
 		r.Body = &answerBody{ReadCloser: r.Body, done: func() { in.picker.Finished(u) }}
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -212,21 +212,28 @@
 		p.closeIdle()
 	case errors.Is(cause, errStopping):
 		// The owner was asked, and the process ends soon.
-		return outcome.Unsure(outcome.ReasonBroken, err)
+		return lost(outcome.ReasonBroken, err)
 	case ctx.Err() != nil:
 		// The caller has gone or its time is up: it gets its answer now.
 		go r.voidLate(context.WithoutCancel(ctx), u, a)
-		return outcome.Unsure(outcome.CancelReason(ctx), err)
+		return lost(outcome.CancelReason(ctx), err)
 	}
 	state, askErr := r.ask(context.WithoutCancel(ctx), pathVoid, u, a)
 	if askErr == nil && state == Voided {
 		return r.voided(err)
 	}
-	out := outcome.Unsure(outcome.ReasonBroken, err)
+	out := lost(outcome.ReasonBroken, err)
 	out.OwnerDown = askErr != nil
 	return out
 }
 
+// lost is the result of an attempt that may have run and whose owner was not heard of.
+func lost(reason outcome.Reason, err error) outcome.Result {
+	out := outcome.Unsure(reason, err)
+	out.Lost = true
+	return out
+}
+
 // unsent is the result of an attempt of which nothing was sent, if the error proves that.
 func unsent(ctx context.Context, err error) (outcome.Result, bool) {
 	reason, held := heldBack(err)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,9 @@
 	Suspected        Kind = "suspected"
 	Quarantined      Kind = "quarantined"
 	Cleared          Kind = "cleared"
+	Rollout          Kind = "rollout"
+	RolloutStopped   Kind = "rollout-stopped"
+	RolloutRefused   Kind = "rollout-refused"
 	Started          Kind = "started"
 	Draining         Kind = "draining"
 )
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -78,6 +78,8 @@
 	Body   io.ReadCloser
 	// OwnerDown says that the owner itself could not be reached.
 	OwnerDown bool
+	// Lost says that the way to the owner broke: nothing is known of the upstream.
+	Lost bool
 	// Err is the cause of an outcome other than Answered, for the log.
 	Err error
 }
@@ -98,6 +100,18 @@
 	return r.Outcome != NotRun || r.Reason == ReasonShed || r.Reason == ReasonMoved
 }
 
+// Ran reports whether the upstream is known to have got the request, or to have failed it
+// by ending or by not answering in time.
+func (r Result) Ran() bool {
+	switch {
+	case r.Outcome == Answered:
+		return true
+	case r.Outcome != Unknown || r.Lost:
+		return false
+	}
+	return r.Reason == ReasonBroken || r.Reason == ReasonEnded || r.Reason == ReasonDeadline
+}
+
 // Full reports whether the owner had no room for the attempt.
 func (r Result) Full() bool {
 	return r.Outcome == NotRun && (r.Reason == ReasonOverload || r.Reason == ReasonLink || r.Reason == ReasonApart)
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -82,26 +82,18 @@
 	slices.SortFunc(list, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
-	return list[:min(max(leastCanaries, p.atOnce(others)), len(list))]
+	return list[:min(max(leastCanaries, p.AtOnce(Canaries, others)), len(list))]
 }
 
-// atOnce returns how many upstreams are tried at a time: as few as take the largest share
-// with the load of one of the others, so that it shows how they bear it.
-func (p Plan) atOnce(others int) int {
-	return min(Canaries, max(1, int(math.Ceil(loadShare*p.Exposure*float64(others)))))
+// AtOnce returns how many of the upstreams chosen are tried at a time: as few as take the
+// largest share with the load of one of the others, so that it shows how they bear it.
+func (p Plan) AtOnce(chosen, others int) int {
+	return min(chosen, max(1, int(math.Ceil(loadShare*p.Exposure*float64(others)))))
 }
 
-// Turn returns which of the upstreams chosen are tried so long after the order. Where few
-// of them take the whole share, they take turns.
-func (p Plan) Turn(elapsed time.Duration, chosen []string, others int) []string {
-	n := p.atOnce(others)
-	if n >= len(chosen) {
-		return chosen
-	}
-	turn := float64(len(chosen)) * float64(elapsed) / ((loadUntil - tasteUntil) * float64(p.Duration))
-	var active []string
-	for i := range n {
-		active = append(active, chosen[(int(turn)+i)%len(chosen)])
-	}
-	return active
+// Turn returns the first of the upstreams chosen that are tried so long after the order.
+// Where a few of them take the whole share, they take turns.
+func (p Plan) Turn(elapsed time.Duration, chosen int) int {
+	turn := float64(chosen) * float64(elapsed) / ((loadUntil - tasteUntil) * float64(p.Duration))
+	return int(turn) % max(1, chosen)
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -87,11 +87,11 @@
 			if at >= p.MoveAt() {
 				break
 			}
-			tried := p.Turn(at, chosen, others)
-			share := p.Share(at, len(tried), others)
+			tried := p.AtOnce(len(chosen), others)
+			share := p.Share(at, tried, others)
 			exposed += share / steps
-			if each := share / float64(len(tried)); each > 1/float64(others)+1e-9 {
-				t.Fatalf("each of %d upstreams tried gets %.4f, one of %d others %.4f", len(tried), each, others, 1/float64(others))
+			if each := share / float64(tried); each > 1/float64(others)+1e-9 {
+				t.Fatalf("each of %d upstreams tried gets %.4f, one of %d others %.4f", tried, each, others, 1/float64(others))
 			}
 		}
 		if exposed > 0.7*p.Exposure {
@@ -209,8 +209,9 @@
 		share = 1
 		active := tried
 		if at < p.MoveAt() {
-			active = p.Turn(at, tried, w.others)
-			share = p.Share(at, len(active), w.others)
+			first, n := p.Turn(at, len(tried)), p.AtOnce(len(tried), w.others)
+			active = slices.Concat(tried, tried)[first : first+n]
+			share = p.Share(at, n, w.others)
 		}
 		calls := int(w.rate * step.Seconds())
 		total += calls
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -111,6 +111,9 @@
 	// InForce is within which an accepted configuration is to be in force
 	// everywhere. Default: 15s.
 	InForce Duration `yaml:"in_force"`
+	// Exposure is the part of a service's calls that a bad version may get while it is
+	// rolled out. Default: 0.1.
+	Exposure float64 `yaml:"exposure"`
 }
 
 // Control steers the distribution of configuration and membership.
@@ -223,7 +226,7 @@
 			Owner: "127.0.0.1:8083", Local: "127.0.0.1:8084",
 		},
 		Log:    Log{Timeout: Duration(2 * time.Second), Retention: Duration(24 * time.Hour)},
-		Bounds: Bounds{Stop: Duration(time.Minute), InForce: Duration(15 * time.Second)},
+		Bounds: Bounds{Stop: Duration(time.Minute), InForce: Duration(p.InForce), Exposure: p.Exposure},
 		Control: Control{
 			Window: Duration(p.Window), Fanout: p.Fanout, Roots: p.Roots,
 			Heartbeat: Duration(p.Heartbeat), SilentAfter: Duration(p.SilentAfter),
@@ -274,7 +277,7 @@
 		UpstreamLapse: time.Duration(c.UpstreamLapse), Grace: time.Duration(c.Grace),
 		MaxLinks: c.MaxLinks, SnapshotsPerSecond: c.SnapshotsPerSecond,
 		Probe: time.Duration(c.Probe), Checkpoint: time.Duration(s.Log.Retention) / checkpointsPerRetention,
-		Seeds: c.Peers, InForce: time.Duration(s.Bounds.InForce),
+		Seeds: c.Peers, InForce: time.Duration(s.Bounds.InForce), Exposure: s.Bounds.Exposure,
 	}
 }
 
@@ -402,6 +405,8 @@
 
 func (s Settings) numbers() *problem {
 	switch {
+	case s.Bounds.Exposure <= 0 || s.Bounds.Exposure > 1:
+		return &problem{"bounds.exposure", "must be above 0 and at most 1"}
 	case s.Control.Fanout < 2 || s.Control.Fanout > 64:
 		return &problem{"control.fanout", "must be between 2 and 64"}
 	case s.Control.Roots < 1 || s.Control.Roots > 8:
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -48,7 +48,7 @@
 func sayHello(w *table.World, now time.Time, l *table.Link, out *Outbox) {
 	hello := wire.Hello{
 		ID: w.Self.ID, Domain: w.Self.Domain, Incarnation: w.Self.Incarnation,
-		Probe: l.Probe, Suspects: suspectsHash(w), Ping: nextPing(w, now, l),
+		Probe: l.Probe, Suspects: suspectsHash(w), Rollouts: rolloutsHash(w), Ping: nextPing(w, now, l),
 	}
 	if m := w.Members[l.Peer]; m != nil {
 		hello.Floor = m.Floor
@@ -76,6 +76,7 @@
 	}
 	dropTwin(w, l, out)
 	tellSuspects(w, l, h, out)
+	tellRollouts(w, now, l, h, out)
 	w.Config.Floor = max(w.Config.Floor, h.Floor)
 	heed(w, now, l, h.Ping, out)
 }
--- a/internal/system/net_test.go
+++ b/internal/system/net_test.go
@@ -11,6 +11,7 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/devlog"
 	"github.com/comfreygate/comfreygate/internal/lang"
+	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -42,6 +43,9 @@
 	store   map[suspect.Digest][]byte
 	written int
 	kept    int
+	// agreed are the phases of roll-outs that were agreed, told those that operators
+	// could read.
+	agreed, told []rollout.Record
 	// bytes counts what each daemon sent of suspects, if it is set.
 	bytes map[string]int
 }
@@ -55,6 +59,8 @@
 	lives      int
 	// highest is the highest version ever reported in force, over restarts.
 	highest uint64
+	// refreshed is set when the call path was to get a new view.
+	refreshed bool
 	// read names the last read of quarantined requests.
 	read string
 }
@@ -85,6 +91,7 @@
 	p.Probe = 2 * time.Second
 	p.Fanout = 2
 	p.Checkpoint = 3 * time.Second
+	p.InForce = 2500 * time.Millisecond
 	return p
 }
 
@@ -189,6 +196,7 @@
 	}
 	n.useLog(node, out)
 	n.useQuarantine(node, out)
+	n.useRollouts(node, out)
 }
 
 func (n *testNet) send(node *testNode, s Send) {
@@ -251,6 +259,7 @@
 		}
 		node.highest = max(node.highest, applied)
 	}
+	node.refreshed = node.refreshed || out.Refresh
 	if out.Refresh {
 		if err := view.Build(node.w, nil).Consistent(); err != nil {
 			n.fatalf("%s: %v", node.id, err)
--- /dev/null
+++ b/internal/system/rollouts_test.go
@@ -0,0 +1,404 @@
+package system
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreygate/comfreygate/internal/devlog"
+	"github.com/comfreygate/comfreygate/internal/rollout"
+	"github.com/comfreygate/comfreygate/internal/table"
+	"github.com/comfreygate/comfreygate/internal/view"
+	"github.com/comfreygate/comfreygate/internal/wire"
+	"github.com/comfreygate/comfreygate/platform/store"
+)
+
+// rolledOut is the service that the tests roll out.
+const rolledOut = "s"
+
+// useRollouts is the store as daemons use it for roll-outs.
+func (n *testNet) useRollouts(node *testNode, out Outbox) {
+	ctx := context.Background()
+	read := func() (RolloutsRead, uint64) {
+		if n.noLog[node.domain] {
+			return RolloutsRead{Err: context.DeadlineExceeded}, 0
+		}
+		newest, err := n.log.Newest(ctx, store.RolloutTopic)
+		r := RolloutsRead{Err: err}
+		for _, e := range newest.Entries {
+			var rec rollout.Record
+			if err := json.Unmarshal(e.Data, &rec); err != nil {
+				n.fatalf("%v", err)
+			}
+			r.Records = append(r.Records, rec)
+		}
+		return r, newest.End
+	}
+	if out.ReadRollouts {
+		r, _ := read()
+		node.inputs = append(node.inputs, r)
+	}
+	for _, rec := range out.AgreeRollouts {
+		r, end := read()
+		if r.Err == nil && followsAll(rec, r.Records) {
+			data, _ := json.Marshal(rec)
+			if r.Err = n.log.AppendKeyedAt(ctx, store.RolloutTopic, rec.Service, data, end); r.Err == nil {
+				r.Records = []rollout.Record{rec}
+				n.agreed = append(n.agreed, rec)
+			}
+		}
+		node.inputs = append(node.inputs, r)
+	}
+	for _, rec := range out.TellRollouts {
+		if !n.noLog[node.domain] {
+			n.told = append(n.told, rec)
+			node.inputs = append(node.inputs, RolloutTold{Record: rec})
+		}
+	}
+}
+
+func followsAll(rec rollout.Record, held []rollout.Record) bool {
+	for _, h := range held {
+		if h.Service == rec.Service && !rec.Follows(h) {
+			return false
+		}
+	}
+	return true
+}
+
+// release is a roll-out in a net with traffic.
+type release struct {
+	n     *testNet
+	rng   *rand.Rand
+	views map[*testNode]*view.View
+	// bad is the part of the new version's answers that fail, from the time badFrom on.
+	bad     float64
+	badFrom time.Time
+	order   rollout.Order
+	ordered time.Time
+	// calls counts those to the service since the order, exposed those to the new
+	// version, and late those to the other version after the roll-out was completed.
+	calls, exposed, late int
+	// newVersion is set once upstreams of it are there.
+	newVersion bool
+	next       time.Time
+}
+
+const (
+	// callsPerStep is how many calls enter at each daemon in a step of 20 ms.
+	callsPerStep = 1
+	// usualFailures is the part of all answers that fails anyway.
+	usualFailures = 0.01
+)
+
+// newRelease returns a net whose daemons each have an upstream of version v1.
+func newRelease(t *testing.T, number uint64, domains, perDomain int) *release {
+	r := &release{n: tNet(t, domains, perDomain), rng: rand.New(rand.NewPCG(number, number)), views: map[*testNode]*view.View{}}
+	r.n.publish("seed", seed)
+	r.announce()
+	r.n.converge(20 * time.Second)
+	r.run(5 * time.Second)
+	return r
+}
+
+// announce renews the upstreams of all daemons.
+func (r *release) announce() {
+	r.next = r.n.now.Add(time.Second)
+	for _, node := range r.n.nodes {
+		versions := []string{"v1"}
+		if r.newVersion {
+			versions = append(versions, "v2")
+		}
+		for _, v := range versions {
+			id := node.id + "/" + v
+			node.inputs = append(node.inputs, Announced{Local: table.Local{
+				Upstream: wire.Upstream{ID: id, Service: rolledOut, Version: v, Slots: 4}, Name: id, Life: id, Addr: "127.0.0.1:1" + id,
+			}})
+		}
+	}
+}
+
+// give orders the roll-out: every root reads it, a little later the upstreams are there.
+func (r *release) give(d time.Duration) {
+	r.ordered = r.n.now
+	r.order = rollout.Order{ID: r.order.ID + 1, Service: rolledOut, Target: "v2", Duration: d}
+	r.newVersion = true
+	r.announce()
+}
+
+// run lets time pass, with traffic.
+func (r *release) run(d time.Duration) {
+	for end := r.n.now.Add(d); r.n.now.Before(end); {
+		if !r.n.now.Before(r.next) {
+			r.announce()
+		}
+		for _, node := range r.n.nodes {
+			if node.alive && node.w.MembersTree.Root && !r.n.noLog[node.domain] && r.order.ID > 0 {
+				node.inputs = append(node.inputs, Ordered{Orders: []rollout.Order{r.order}})
+			}
+		}
+		r.n.run(step)
+		for _, node := range r.n.nodes {
+			if node.alive {
+				r.traffic(node)
+			}
+		}
+	}
+}
+
+// traffic lets calls enter at a daemon, as its call path carries them.
+func (r *release) traffic(node *testNode) {
+	if r.views[node] == nil || node.refreshed {
+		r.views[node] = view.Build(node.w, r.views[node])
+		node.refreshed = false
+	}
+	v := r.views[node]
+	s := v.Services[rolledOut]
+	if s == nil || !v.Ready {
+		return // it has just started
+	}
+	for range callsPerStep {
+		list := s.Upstreams
+		if s.Split != nil {
+			if trial := s.Split.Trial(r.n.now); trial != nil {
+				list = trial.Upstreams
+			}
+		}
+		if len(list) == 0 {
+			continue
+		}
+		u := list[r.rng.IntN(len(list))]
+		r.count(node, u)
+		fails := usualFailures
+		if u.Version == "v2" && !r.badFrom.IsZero() && !r.n.now.Before(r.badFrom) {
+			fails = r.bad
+		}
+		if s.Split != nil {
+			s.Split.Note(r.n.now, view.Ran{Route: "tickets", Upstream: u, Failed: r.rng.Float64() < fails, Took: time.Millisecond, Usual: time.Millisecond})
+		}
+	}
+}
+
+func (r *release) count(node *testNode, u view.Upstream) {
+	if r.order.ID == 0 {
+		return
+	}
+	if r.n.now.Before(r.ordered.Add(r.order.Duration)) {
+		r.calls++
+		if u.Version == "v2" {
+			r.exposed++
+		}
+	}
+	if ro := node.w.Rollouts[rolledOut]; ro != nil && ro.Phase == rollout.Completed && u.Version == "v1" {
+		r.late++
+	}
+}
+
+// ended returns how the roll-out has ended on all daemons, or says which differs.
+func (r *release) ended(t *testing.T) rollout.Phase {
+	t.Helper()
+	var phase rollout.Phase
+	for i, node := range r.n.nodes {
+		ro := node.w.Rollouts[rolledOut]
+		if ro == nil {
+			t.Fatalf("%s knows no roll-out", node.id)
+		}
+		if i > 0 && ro.Phase != phase {
+			t.Fatalf("%s: %s, others %s", node.id, ro.Phase, phase)
+		}
+		phase = ro.Phase
+	}
+	return phase
+}
+
+// allowed is how many calls a bad version may get.
+func (r *release) allowed() int { return r.calls/10 + 50 }
+
+func TestGoodVersionIsCompletedInTime(t *testing.T) {
+	is := is.New(t)
+	r := newRelease(t, 1, 3, 5)
+	r.give(12 * time.Second)
+	r.run(12 * time.Second)
+	is.Equal(r.ended(t), rollout.Completed)
+	is.Equal(r.late, 0)
+	is.Equal(r.n.told[len(r.n.told)-1].Phase, rollout.Completed)
+	is.True(len(r.n.agreed) == 3) // each phase once
+}
+
+// TestBadVersionIsExposedNoMoreThanAllowed plays versions that are bad from the start and
+// from later on.
+func TestBadVersionIsExposedNoMoreThanAllowed(t *testing.T) {
+	for seed := range uint64(6) {
+		is := is.New(t)
+		r := newRelease(t, seed, 3, 5)
+		r.give(12 * time.Second)
+		r.bad, r.badFrom = 0.3+0.1*float64(seed), r.ordered.Add(time.Duration(seed)*500*time.Millisecond)
+		r.run(12 * time.Second)
+		is.Equal(r.ended(t), rollout.Reverted)
+		t.Logf("seed %d: %d of %d calls went to the bad version, %d allowed; %s", seed, r.exposed, r.calls, r.allowed(), r.n.nodes[0].w.Rollouts[rolledOut].Why)
+		is.True(r.exposed <= r.allowed())
+		before := r.exposed
+		r.run(5 * time.Second)
+		is.Equal(r.exposed, before) // and none ever after
+	}
+}
+
+// TestNewVersionWithoutAnOrderIsServed lets upstreams of another version appear, as in a
+// plain replacement.
+func TestNewVersionWithoutAnOrderIsServed(t *testing.T) {
+	is := is.New(t)
+	r := newRelease(t, 1, 2, 3)
+	r.newVersion = true
+	r.announce()
+	split := func() bool { return r.views[r.n.nodes[0]].Services[rolledOut].Split != nil }
+	r.run(time.Second)
+	is.True(split()) // an order may be on its way
+	r.run(testParams().InForce)
+	is.True(!split())
+	is.Equal(len(r.views[r.n.nodes[0]].Services[rolledOut].Upstreams), 12)
+}
+
+// TestOrderForAVersionThatNobodyRuns is reverted, and calls are served as before.
+func TestOrderForAVersionThatNobodyRuns(t *testing.T) {
+	is := is.New(t)
+	r := newRelease(t, 1, 2, 3)
+	r.give(6 * time.Second)
+	r.newVersion = false
+	for _, node := range r.n.nodes {
+		node.inputs = nil // as if they had never come
+	}
+	r.run(6 * time.Second)
+	is.Equal(r.ended(t), rollout.Reverted)
+	is.Equal(r.exposed, 0)
+}
+
+// TestSecondOrderBarsTheFirstVersion gives an order while another runs.
+func TestSecondOrderBarsTheFirstVersion(t *testing.T) {
+	is := is.New(t)
+	r := newRelease(t, 1, 2, 3)
+	r.give(12 * time.Second)
+	r.run(2 * time.Second)
+	r.order = rollout.Order{ID: r.order.ID + 1, Service: rolledOut, Target: "v3", Duration: 12 * time.Second}
+	r.run(2 * time.Second)
+	for _, node := range r.n.nodes {
+		ro := node.w.Rollouts[rolledOut]
+		is.Equal(ro.Target, "v3")
+		is.Equal(ro.Barred, []string{"v2"})
+		for _, u := range r.views[node].Services[rolledOut].Upstreams {
+			is.Equal(u.Version, "v1")
+		}
+	}
+}
+
+// TestMalformedNewsOfRolloutsChangeNothing sends what no daemon would.
+func TestMalformedNewsOfRolloutsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRelease(t, 1, 1, 3)
+	r.give(12 * time.Second)
+	r.run(time.Second)
+	node := r.n.nodes[0]
+	before := *node.w.Rollouts[rolledOut]
+	var link table.LinkID
+	for id := range node.w.Links {
+		link = id
+	}
+	good := stateOf(&before, r.n.now)
+	older, noPhase, negative, noVersion := good, good, good, good
+	older.ID, older.Phase = 0, rollout.Completed
+	noPhase.ID, noPhase.Phase = 99, 7
+	negative.ID, negative.AgeMs = 99, -1
+	noVersion.ID, noVersion.Target = 99, ""
+	for _, m := range []wire.Message{
+		wire.Rollouts{States: []wire.RolloutState{older, noPhase, negative, noVersion}},
+		wire.Tally{Service: rolledOut, Order: before.ID, Domain: "d0", By: "x", Rows: []rollout.Row{{Count: rollout.Count{N: -5}}}},
+		wire.Tally{Service: rolledOut, Order: before.ID, Domain: "d0", By: "x", Rows: []rollout.Row{{Cell: rollout.Cell{Target: true}, Count: rollout.Count{N: 5, Failed: 6}}}},
+		wire.Tally{Service: "another", Order: 1}, wire.Tally{Service: rolledOut, Order: 77},
+	} {
+		Tick(node.w, r.n.now, []Input{Received{Link: link, Message: m}})
+	}
+	after := node.w.Rollouts[rolledOut]
+	is.Equal(after.Record, before.Record)
+	is.Equal(after.Stop, "")
+	for _, d := range after.Domains {
+		is.True(d.By != "x")
+	}
+}
+
+// TestRolloutsUnderFaults plays roll-outs of good and bad versions while daemons are
+// killed, failure domains are cut off, and the store is down: a bad version is never
+// completed nor gets more than its part, all daemons end with the same, and phases only go
+// forward.
+func TestRolloutsUnderFaults(t *testing.T) {
+	faults := []string{"none", "kill-deciders", "cut", "store-down", "store-loses", "all-restart"}
+	for seed := range uint64(4 * len(faults)) {
+		fault, bad := faults[seed%uint64(len(faults))], seed/uint64(len(faults))%2 == 1
+		t.Run(fmt.Sprintf("%s-%t-%d", fault, bad, seed), func(t *testing.T) { underFault(t, seed, fault, bad) })
+	}
+}
+
+func underFault(t *testing.T, seed uint64, fault string, bad bool) {
+	r := newRelease(t, seed, 3, 5)
+	r.n.checkFloor = false
+	r.give(12 * time.Second)
+	if bad {
+		r.bad, r.badFrom = 0.5, r.ordered
+	}
+	r.run(time.Duration(500+r.rng.IntN(8000)) * time.Millisecond)
+	n := r.n
+	switch fault {
+	case "kill-deciders":
+		for _, node := range n.nodes {
+			if node.w.MembersTree.Root && node.w.MembersTree.Rank == 0 {
+				n.kill(node)
+			}
+		}
+		r.run(1500 * time.Millisecond)
+		for _, node := range n.nodes {
+			if !node.alive {
+				n.start(node)
+			}
+		}
+		r.announce()
+	case "cut":
+		n.apart["d0|d1"], n.apart["d0|d2"] = true, true
+		n.noLog["d0"] = true
+		r.run(4 * time.Second)
+		n.apart, n.noLog = map[string]bool{}, map[string]bool{}
+	case "store-down":
+		n.log.SetFaults(devlog.Faults{Down: true})
+		r.run(3 * time.Second)
+		n.log.SetFaults(devlog.Faults{})
+	case "store-loses":
+		n.log.SetFaults(devlog.Faults{LoseAnswers: 3})
+	case "all-restart":
+		for _, node := range n.nodes {
+			n.kill(node)
+		}
+		n.run(time.Second)
+		for _, node := range n.nodes {
+			n.start(node)
+		}
+		r.announce()
+	}
+	r.run(20 * time.Second)
+	phase := r.ended(t)
+	if bad && phase != rollout.Reverted {
+		t.Errorf("a bad version is %s", phase)
+	}
+	if bad && r.exposed > r.allowed() {
+		t.Errorf("%d of %d calls went to a bad version", r.exposed, r.calls)
+	}
+	if !bad && phase != rollout.Completed {
+		t.Errorf("a good version is %s: %s", phase, n.nodes[0].w.Rollouts[rolledOut].Why)
+	}
+	for i := 1; i < len(n.agreed); i++ {
+		if !n.agreed[i].Follows(n.agreed[i-1]) {
+			t.Errorf("%s was agreed after %s", n.agreed[i].Phase, n.agreed[i-1].Phase)
+		}
+	}
+}
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
@@ -115,6 +116,12 @@
 	DropQuarantine []suspect.Digest
 	// Quarantined are the requests that are in quarantine since this tick.
 	Quarantined []suspect.Record
+	// ReadRollouts asks for a read of the store's records of roll-outs, AgreeRollouts to
+	// leave records there if nobody else has meanwhile, TellRollouts to let operators
+	// read a phase there.
+	ReadRollouts  bool
+	AgreeRollouts []rollout.Record
+	TellRollouts  []rollout.Record
 	// Refresh says that the view of the call path is out of date.
 	Refresh bool
 }
@@ -141,6 +148,7 @@
 	runCheckpoints(w, now, &out)
 	runGossip(w, now, &out)
 	runSuspects(w, now, &out)
+	runRollouts(w, now, &out)
 	if w.ViewDirty {
 		w.ViewDirty = false
 		out.Refresh = true
@@ -174,6 +182,12 @@
 		noteListed(w, now, v.Listed)
 	case QuarantineRead:
 		receiveQuarantine(w, v)
+	case Ordered:
+		receiveOrders(w, v, out)
+	case RolloutsRead:
+		receiveRollouts(w, now, v, out)
+	case RolloutTold:
+		noteTold(w, v.Record)
 	case Suspected: // runSuspects takes it from the table
 	case Leave:
 		w.Self.Leaving = true
@@ -218,6 +232,10 @@
 		receiveSnapshot(w, now, l, m, out)
 	case wire.Suspects:
 		receiveSuspects(w, l, m)
+	case wire.Rollouts:
+		hearRollouts(w, now, l, m, out)
+	case wire.Tally:
+		hearTally(w, l, m, out)
 	}
 }
 
--- a/internal/table/link.go
+++ b/internal/table/link.go
@@ -40,6 +40,11 @@
 	Members  uint64
 	// TakesSuspects is set if the other end takes what is known of suspects.
 	TakesSuspects bool
+	// TakesRollouts is the same of roll-outs.
+	TakesRollouts bool
+	// Tallies are what the other end and those behind it have seen of roll-outs, by
+	// service.
+	Tallies map[string]wire.Tally
 	// Sent is the position up to which records were pushed.
 	Sent uint64
 	// PullAfter is when the next pull may be sent.
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/wire"
 )
@@ -47,6 +48,8 @@
 	// Documents says that the configuration comes as whole documents, not as
 	// commands on the log.
 	Documents bool
+	// Exposure is the part of a service's calls that a bad version may get.
+	Exposure float64
 	// Seeds are addresses of daemons to find the others through.
 	Seeds []string
 }
@@ -68,6 +71,7 @@
 		Probe:              60 * time.Second,
 		Checkpoint:         6 * time.Hour,
 		InForce:            15 * time.Second,
+		Exposure:           0.1,
 	}
 }
 
@@ -102,6 +106,20 @@
 	// Suspects is shared with the call path, which adds what it sees.
 	Suspects   *suspect.Table
 	Quarantine Quarantine
+	// Rollouts are the last one of each service.
+	Rollouts map[string]*Rollout
+	// Orders are those that were read and are not followed yet, by service.
+	Orders map[string]rollout.Order
+	// RolloutsRead is set once the store's records of roll-outs were read.
+	RolloutsRead bool
+	// NextTally is when what was seen of roll-outs is next passed on.
+	NextTally time.Time
+	// Versions holds when each version of a service was first seen here, by service.
+	Versions map[string]map[string]time.Time
+	// Probation holds the version of a service that has just appeared beside others;
+	// VersionsDue is when the next one may be over.
+	Probation   map[string]string
+	VersionsDue time.Time
 
 	NextProbe time.Time
 	NextSeed  time.Time
@@ -241,6 +259,9 @@
 			Held: map[suspect.Digest]suspect.Record{}, From: map[suspect.Digest]LinkID{},
 		},
 		Suspects:  suspects,
+		Rollouts:  map[string]*Rollout{},
+		Orders:    map[string]rollout.Order{},
+		Versions:  map[string]map[string]time.Time{},
 		Seeds:     p.Seeds,
 		NextProbe: now.Add(p.Probe),
 		ViewDirty: true,
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -35,6 +35,8 @@
 type Service struct {
 	config.Service
 	Upstreams []Upstream
+	// Split divides the calls while a version is rolled out, or is nil.
+	Split *Split
 }
 
 // View is one consistent picture: a route of it can never lead to a service
@@ -83,6 +85,7 @@
 	for _, s := range v.Services {
 		slices.SortFunc(s.Upstreams, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
+	v.splitServices(w, before)
 	for _, l := range w.Locals {
 		v.Locals = append(v.Locals, *l)
 	}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -29,6 +29,10 @@
 		return decodeAs[Busy](body)
 	case MethodSuspects:
 		return decodeAs[Suspects](body)
+	case MethodRollouts:
+		return decodeAs[Rollouts](body)
+	case MethodTally:
+		return decodeAs[Tally](body)
 	}
 	return nil, errors.Errorf("unknown method %q", method)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 )
 
@@ -81,6 +82,8 @@
 	// Suspects is the hash of the sender's table of suspects, in hexadecimal digits. "":
 	// the sender is of a release that does not take the message.
 	Suspects string `json:"suspects,omitempty"`
+	// Rollouts is the same of the sender's roll-outs.
+	Rollouts string `json:"rollouts,omitempty"`
 	Ping     Ping   `json:"ping"`
 }
 
@@ -146,6 +149,34 @@
 	Records []suspect.Record `json:"records"`
 }
 
+// Rollouts carries what is agreed of roll-outs.
+type Rollouts struct {
+	States []RolloutState `json:"states"`
+}
+
+// RolloutState is a roll-out as its sender knows it.
+type RolloutState struct {
+	rollout.Record
+	// AgeMs is how long ago the order was given, PhaseAgeMs how long ago its phase began.
+	AgeMs      int64 `json:"age"`
+	PhaseAgeMs int64 `json:"phase_age"`
+	// Stop says why the new version gets no calls any more, before that is agreed.
+	Stop string `json:"stop,omitempty"`
+}
+
+// Tally carries what daemons have seen of a service's calls during a roll-out.
+type Tally struct {
+	Service string `json:"service"`
+	// Order is the ID of the order.
+	Order uint64 `json:"order"`
+	// Domain is the failure domain whose daemons these are all, or "": they are the
+	// sender and those that it passes things on to.
+	Domain string `json:"domain,omitempty"`
+	// By is the daemon that has added them up for its failure domain.
+	By   string        `json:"by,omitempty"`
+	Rows []rollout.Row `json:"rows"`
+}
+
 // Busy refuses a pull or a connection and says when to come back.
 type Busy struct {
 	RetryAfterMs int64 `json:"retry_after_ms"`
@@ -168,6 +199,8 @@
 	MethodSnapshot    = "snapshot"
 	MethodBusy        = "busy"
 	MethodSuspects    = "suspects"
+	MethodRollouts    = "rollouts"
+	MethodTally       = "tally"
 )
 
 // Method implements Message.
@@ -200,6 +233,12 @@
 // Method implements Message.
 func (Suspects) Method() string { return MethodSuspects }
 
+// Method implements Message.
+func (Rollouts) Method() string { return MethodRollouts }
+
+// Method implements Message.
+func (Tally) Method() string { return MethodTally }
+
 // Envelope is a message with the sender's clock.
 type Envelope struct {
 	Clock int64           `json:"clock"`
