Roll-outs ordered and aborted through the product's own interface, and watched in dev mode

rollout SERVICE to VERSION within TIME, abort rollout SERVICE, show rollouts; the dev mode starts upstreams of a version that is ordered, with callers, as a platform would.

Found in dev mode: a good version was reverted, 17 of 159 answers slow beside 4 of 498. Cause: slow was judged by the caller's clock; daemons call the upstream on their own VM first, and the few that are tried are mostly on others. Change: the upstream's own daemon measures, and tells while a version is rolled out; what is usual is learnt from the other versions' answers on the same route.

--- a/cmd/comfreyd/dev.go
+++ b/cmd/comfreyd/dev.go
@@ -54,9 +54,16 @@
 		}
 		agents = append(agents, a)
 	}
+	fleet := &devFleet{agents: agents, running: map[place]*devUpstream{}, ended: map[uint64]bool{}}
+	for i := range devVMs {
+		if err := fleet.start(i, firstVersion); err != nil {
+			return err
+		}
+	}
 	if err := publishExample(agents); err != nil {
 		return err
 	}
+	go fleet.watch()
 	explain(agents[0].Addresses())
 	return stopOnSignal(agents)
 }
@@ -78,23 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
-	up, err := dev.StartUpstream(vm.name, vm.service)
-	if err != nil {
-		return nil, err
-	}
-	go announce(a, up)
 	return a, nil
 }
 
-// announce keeps an example upstream announced.
-func announce(a *agent.Agent, up *dev.Upstream) {
-	for range time.Tick(time.Second) {
-		a.Announce(agent.Announcement{
-			ID: up.ID, Service: up.Service, Addr: up.Addr(), Slots: devSlots, Connections: devConnections,
-		})
-	}
-}
-
 // publishExample publishes the example through the first daemon and waits
 // until it is in force on all.
 func publishExample(agents []*agent.Agent) error {
@@ -145,6 +138,11 @@
   comfreyctl --address %s 'publish caller auditor; revise route ledger path /ledger to repair-tickets policy owner-can-wait callers owner, auditor'
   comfreyctl --address %s timeline
 
+Roll out a good version and a bad one, and watch:
+  comfreyctl --address %s 'rollout repair-tickets to 2.0 within 12s'
+  comfreyctl --address %s 'rollout parts-payments to 2.0-bad within 12s'
+  comfreyctl --address %s 'show rollouts'
+
 Stop with Ctrl-C.
-`, at.Callers, at.Admin, at.Admin, at.Admin, at.Admin)
+`, at.Callers, at.Admin, at.Admin, at.Admin, at.Admin, at.Admin, at.Admin, at.Admin)
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -108,6 +108,10 @@
 		return h.reseed(ctx)
 	case st.Clear != "":
 		return h.clearSuspect(st.Clear)
+	case st.Rollout != nil:
+		return h.outcomeOf("rollout", h.agent.OrderRollout(st.Rollout.Service, st.Rollout.Target, st.Rollout.Within)), nil
+	case st.Abort != "":
+		return h.outcomeOf("abort-rollout", h.agent.AbortRollout(st.Abort)), nil
 	}
 	cmd := config.Command{
 		ID: req.CommandID.Or(""), Author: req.Author.Or(""), IfVersion: st.IfVersion, Changes: st.Changes,
--- a/internal/admin/rollouts.go
+++ b/internal/admin/rollouts.go
@@ -7,7 +7,12 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/comfreygate/comfreygate/api"
+	"github.com/comfreygate/comfreygate/internal/agent"
 	"github.com/comfreygate/comfreygate/internal/rollout"
+	"github.com/comfreygate/comfreygate/platform/store"
 )
 
 // rollouts shows the last roll-out of each service, and what was seen of it where it is
@@ -41,3 +46,19 @@
 func counted(c rollout.Count) string {
 	return fmt.Sprintf("%d answers, %d failed, %d of %d slow", c.N, c.Failed, c.Slow, c.Timed)
 }
+
+// outcomeOf says what became of an order for a roll-out.
+func (h *handler) outcomeOf(id string, err error) *api.Answer {
+	out := api.Outcome{CommandID: id, Status: api.OutcomeStatusAccepted}
+	var refused *agent.RefusedError
+	switch {
+	case errors.As(err, &refused) || store.Moved(err):
+		out.Status = api.OutcomeStatusRejected
+	case err != nil:
+		out.Status = api.OutcomeStatusUnknown
+	}
+	if err != nil {
+		out.Reason = api.NewOptString(err.Error())
+	}
+	return &api.Answer{Kind: api.AnswerKindOutcome, Version: int64(h.agent.Held().Version), Outcome: api.NewOptOutcome(out)}
+}
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -54,6 +54,9 @@
 	// microseconds; it may be negative.
 	headerObjective = "Comfrey-Objective-Us"
 	headerLoad      = "Comfrey-Load"
+	// headerTook is how long the upstream took, in microseconds, while a version is
+	// rolled out.
+	headerTook = "Comfrey-Took-Us"
 	// headerAnyHost is present on attempts of routes that take requests for any host.
 	headerAnyHost = "Comfrey-Any-Host"
 	// headerSuspect holds the suspect.Record of a request under which an upstream has
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -306,16 +306,12 @@
 }
 
 // noteRan counts an attempt as evidence for or against a version that is rolled out.
-func (in *Ingress) noteRan(c *call, u view.Upstream, r outcome.Result, took time.Duration) {
-	split := c.service.Split
-	if split == nil || !r.Ran() {
-		return
-	}
-	ran := view.Ran{Route: c.route.Name, Upstream: u, Failed: r.Outcome != outcome.Answered || failed(r)}
-	if !ran.Failed {
-		ran.Took, ran.Usual = took, c.attempt.Usual
+func (in *Ingress) noteRan(c *call, u view.Upstream, r outcome.Result) {
+	if split := c.service.Split; split != nil && r.Ran() {
+		split.Note(in.cfg.Now(), view.Ran{
+			Route: c.route.Name, Upstream: u, Failed: r.Outcome != outcome.Answered || failed(r), Took: r.Took,
+		})
 	}
-	split.Note(in.cfg.Now(), ran)
 }
 
 // bytesPerMB converts the setting's unit.
@@ -357,7 +353,7 @@
 			in.picker.Note(c.route.Name, size, in.cfg.Now().Sub(began))
 		}
 	}
-	in.noteRan(c, u, r, in.cfg.Now().Sub(began))
+	in.noteRan(c, u, r)
 	in.picker.Observe(u, a.Urgency, r)
 	if r.Outcome == outcome.Answered {
 		r.Body = &answerBody{ReadCloser: r.Body, done: func() { in.picker.Finished(u) }}
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -55,6 +55,9 @@
 	stop   chan struct{}
 	// leaving says that other daemons are to send their calls elsewhere.
 	leaving atomic.Bool
+	// rollsOut says that a version is rolled out somewhere: callers are then told how
+	// long upstreams take.
+	rollsOut atomic.Bool
 	// lines bounds what is logged of attempts.
 	lines lineLimit
 
@@ -100,6 +103,7 @@
 // no longer there takes no new attempt from here on; running ones finish.
 func (o *Owner) Update(v *view.View) {
 	o.leaving.Store(v.Leaving)
+	o.rollsOut.Store(v.RollsOut())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	present := make(map[string]bool, len(v.Locals))
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -226,6 +226,9 @@
 	if r.HasLoad {
 		h.Set(headerLoad, r.Load.Encode())
 	}
+	if r.Took > 0 && o.rollsOut.Load() {
+		h.Set(headerTook, strconv.FormatInt(r.Took.Microseconds(), 10))
+	}
 	if r.Outcome != outcome.Answered {
 		h.Set(HeaderReason, string(r.Reason))
 		h.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -134,9 +134,10 @@
 		}
 	}
 	o.cfg.Metrics.Started.Inc(1)
-	load := loc.gate.LoadAfter(o.cfg.Now().Sub(began))
+	took := o.cfg.Now().Sub(began)
+	load := loc.gate.LoadAfter(took)
 	load.Intake = o.intake.wait()
-	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true}
+	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true, Took: took}
 }
 
 // failed judges a request that brought no answer. Only a connection that was
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -177,6 +177,9 @@
 	out := outcome.Result{Outcome: outcome.Kind(res.Header.Get(HeaderOutcome))}
 	out.Load, out.HasLoad = outcome.DecodeLoad(res.Header.Get(headerLoad))
 	if out.Outcome == outcome.Answered {
+		if us, err := strconv.ParseInt(res.Header.Get(headerTook), 10, 64); err == nil && us > 0 {
+			out.Took = time.Duration(us) * time.Microsecond
+		}
 		out.Status = res.StatusCode
 		out.Header = res.Header
 		out.Body = &answerBody{ReadCloser: res.Body, done: func() { cancel(nil) }}
--- a/internal/dev/upstream.go
+++ b/internal/dev/upstream.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -14,23 +16,37 @@
 type Upstream struct {
 	ID      string
 	Service string
+	Version string
 	ln      net.Listener
 	srv     *http.Server
+	calls   atomic.Int64
 }
 
-// StartUpstream serves an example upstream on a free port.
-func StartUpstream(id, service string) (*Upstream, error) {
+const (
+	// badSuffix ends the names of versions that are bad.
+	badSuffix = "-bad"
+	// badEvery says which of their answers are failures.
+	badEvery = 3
+)
+
+// StartUpstream serves an example upstream beside a VM's daemon, on a free port. Its
+// version is a part of its ID.
+func StartUpstream(vm, service, version string) (*Upstream, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, errors.Wrapf(err, "upstream %s", id)
+		return nil, errors.Wrapf(err, "upstream %s", vm)
 	}
-	u := &Upstream{ID: id, Service: service, ln: ln}
+	u := &Upstream{ID: vm + "-" + version, Service: service, Version: version, ln: ln}
 	u.srv = &http.Server{Handler: http.HandlerFunc(u.answer)}
 	go u.srv.Serve(ln)
 	return u, nil
 }
 
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(u.Version, badSuffix) && u.calls.Add(1)%badEvery == 0 {
+		http.Error(w, "a bad version", http.StatusInternalServerError)
+		return
+	}
 	fmt.Fprintf(w, "%s %s answered by %s of %s\n", r.Method, r.URL.Path, u.ID, u.Service)
 }
 
--- a/internal/lang/lang_test.go
+++ b/internal/lang/lang_test.go
@@ -38,6 +38,12 @@
 	s, err = Parse("clear suspect 0123456789abcdef")
 	is.NoErr(err)
 	is.Equal(s.Clear, "0123456789abcdef")
+	s, err = Parse("rollout tickets to 2.0 within 12s")
+	is.NoErr(err)
+	is.Equal(*s.Rollout, Rollout{Service: "tickets", Target: "2.0", Within: 12 * time.Second})
+	s, err = Parse("abort rollout tickets")
+	is.NoErr(err)
+	is.Equal(s.Abort, "tickets")
 	s, err = Parse("show command cmd-1")
 	is.NoErr(err)
 	is.Equal(s.Query.Name, "cmd-1")
@@ -58,6 +64,9 @@
 		{"publish service x ramp 1s ramp 2s", 27, "twice"},
 		{"publish policy p urgency normal timeout 1s retries few", 44, "whole number"},
 		{"if version soon publish service x", 12, "soon"},
+		{"rollout tickets to 2.0 within soon", 31, "soon"},
+		{"rollout tickets to 2.0 within 0s", 31, "0s"},
+		{"rollout tickets within 12s", 17, "within"},
 		{"", 1, "unexpected"},
 	} {
 		_, err := Parse(c.text)
--- a/internal/lang/statement.go
+++ b/internal/lang/statement.go
@@ -18,8 +18,8 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 )
 
-// Statement is a parsed statement. Exactly one of Query, Changes, Reseed and Clear
-// is set.
+// Statement is a parsed statement. Exactly one of Query, Changes, Reseed, Clear, Rollout
+// and Abort is set.
 type Statement struct {
 	Query   *Query
 	Changes []config.Change
@@ -31,6 +31,16 @@
 	Reseed    bool
 	// Clear is the digest of a request that is no longer suspected.
 	Clear string
+	// Rollout orders a roll-out, Abort ends that of a service.
+	Rollout *Rollout
+	Abort   string
+}
+
+// Rollout is an order to move a service's calls to a version of its upstreams.
+type Rollout struct {
+	Service string
+	Target  string
+	Within  time.Duration
 }
 
 // Query asks for the rows of a table.
@@ -64,9 +74,30 @@
 	Query   *queryAST   `parser:"( @@"`
 	Reseed  bool        `parser:"| @'reseed' 'log'"`
 	Clear   string      `parser:"| 'clear' 'suspect' @Word"`
+	Rollout *rolloutAST `parser:"| @@"`
+	Abort   string      `parser:"| 'abort' 'rollout' @Word"`
 	Command *commandAST `parser:"| @@ ) ';'?"`
 }
 
+type rolloutAST struct {
+	Service string    `parser:"'rollout' @Word"`
+	Target  string    `parser:"'to' @( Word | String )"`
+	Within  *valueAST `parser:"'within' @@"`
+}
+
+type valueAST struct {
+	Pos   lexer.Position
+	Value string `parser:"@Word"`
+}
+
+func (r *rolloutAST) order() (*Rollout, error) {
+	d, err := time.ParseDuration(r.Within.Value)
+	if err != nil || d <= 0 {
+		return nil, participle.Errorf(r.Within.Pos, "within: %q is no time, such as 12s", r.Within.Value)
+	}
+	return &Rollout{Service: r.Service, Target: r.Target, Within: d}, nil
+}
+
 type queryAST struct {
 	Table string          `parser:"'show' @Word"`
 	Name  string          `parser:"( (?! 'where') @Word )?"`
@@ -82,17 +113,12 @@
 type commandAST struct {
 	DryRun  bool         `parser:"@( 'dry' 'run' )?"`
 	Force   bool         `parser:"( @'force'"`
-	Version *versionAST  `parser:"| 'if' 'version' @@ )?"`
+	Version *valueAST    `parser:"| 'if' 'version' @@ )?"`
 	Changes []*changeAST `parser:"@@ ( ';' @@ )*"`
 }
 
-type versionAST struct {
-	Pos   lexer.Position
-	Value string `parser:"@Word"`
-}
-
-// number returns the version, or nil if none was given.
-func (v *versionAST) number() (*uint64, error) {
+// number returns a version, or nil if none was given.
+func (v *valueAST) number() (*uint64, error) {
 	if v == nil {
 		return nil, nil
 	}
@@ -152,6 +178,14 @@
 		return &Statement{Reseed: true}, nil
 	case ast.Clear != "":
 		return &Statement{Clear: ast.Clear}, nil
+	case ast.Abort != "":
+		return &Statement{Abort: ast.Abort}, nil
+	case ast.Rollout != nil:
+		order, err := ast.Rollout.order()
+		if err != nil {
+			return nil, located(err)
+		}
+		return &Statement{Rollout: order}, nil
 	}
 	version, err := ast.Command.Version.number()
 	if err != nil {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -71,6 +71,8 @@
 	RetryAfter time.Duration
 	Load       Load
 	HasLoad    bool
+	// Took is how long the upstream took to answer; zero: not told.
+	Took time.Duration
 	// Status, Header and Body are the answer, if Outcome is Answered. The
 	// receiver closes Body.
 	Status int
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -11,6 +11,8 @@
 	mu       sync.Mutex
 	tally    Tally
 	controls map[controlKey]int
+	// usual is how long answers of other versions take, by route.
+	usual map[uint32]time.Duration
 }
 
 // controlKey is what calls to the other versions are counted for.
@@ -21,13 +23,18 @@
 
 // NewEvidence returns evidence without calls.
 func NewEvidence() *Evidence {
-	return &Evidence{tally: Tally{}, controls: map[controlKey]int{}}
+	return &Evidence{tally: Tally{}, controls: map[controlKey]int{}, usual: map[uint32]time.Duration{}}
 }
 
 const (
 	// slowTimes is from how many times the usual on an answer is slow: more than a busy
 	// upstream takes, less than one that is several times slower.
 	slowTimes = 2.5
+	// slowBy is by how much it is longer at least: an upstream that gets few calls opens
+	// a connection for many of them.
+	slowBy = 2 * time.Millisecond
+	// usualWeight is the weight of the newest answer in what is usual.
+	usualWeight = 0.05
 	// cellsMost bounds the cells kept: what is beyond is not counted.
 	cellsMost = 4096
 )
@@ -41,9 +48,9 @@
 	// Moved says that calls move to the new version.
 	Moved  bool
 	Failed bool
-	// Took is how long the answer took, Usual how long it takes as a rule; zero: it
-	// tells nothing.
-	Took, Usual time.Duration
+	// Took is how long the upstream took, as its owner has measured it: daemons call
+	// upstreams on their own VM and on others. Zero: not told.
+	Took time.Duration
 }
 
 // Note counts a call: each to the new version, and of the others the next few of the
@@ -53,18 +60,9 @@
 	if s.Upstream != "" {
 		cell.Upstream = Hash(s.Upstream)
 	}
-	n := Count{N: 1}
-	switch {
-	case s.Failed:
-		n.Failed = 1
-	case s.Took > 0 && s.Usual > 0:
-		n.Timed = 1
-		if float64(s.Took) > slowTimes*float64(s.Usual) {
-			n.Slow = 1
-		}
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	n := e.count(cell, s)
 	key := controlKey{cell.Route, cell.Moved}
 	switch {
 	case s.Target:
@@ -79,6 +77,31 @@
 	}
 }
 
+// count returns what a call counts as, and learns from it what is usual.
+func (e *Evidence) count(cell Cell, s Seen) Count {
+	if s.Failed {
+		return Count{N: 1, Failed: 1}
+	}
+	usual := e.usual[cell.Route]
+	if !s.Target && s.Took > 0 {
+		if usual == 0 {
+			usual = s.Took
+		}
+		usual += time.Duration(usualWeight * float64(s.Took-usual))
+		if _, known := e.usual[cell.Route]; known || len(e.usual) < cellsMost {
+			e.usual[cell.Route] = usual
+		}
+	}
+	if usual == 0 || s.Took == 0 {
+		return Count{N: 1}
+	}
+	n := Count{N: 1, Timed: 1}
+	if s.Took > usual+slowBy && float64(s.Took) > slowTimes*float64(usual) {
+		n.Slow = 1
+	}
+	return n
+}
+
 // Rows returns what was seen so far.
 func (e *Evidence) Rows() []Row {
 	e.mu.Lock()
--- a/internal/view/split.go
+++ b/internal/view/split.go
@@ -64,9 +64,8 @@
 	Route    string
 	Upstream Upstream
 	Failed   bool
-	// Took is how long the answer took, Usual how long it takes as a rule; zero: it
-	// tells nothing.
-	Took, Usual time.Duration
+	// Took is how long the upstream took, as its owner has measured it; zero: not told.
+	Took time.Duration
 }
 
 // Note counts a call as evidence.
@@ -75,7 +74,7 @@
 		return
 	}
 	seen := rollout.Seen{
-		Route: r.Route, Target: r.Upstream.Version == s.target, Moved: !s.moving.IsZero(), Failed: r.Failed, Took: r.Took, Usual: r.Usual,
+		Route: r.Route, Target: r.Upstream.Version == s.target, Moved: !s.moving.IsZero(), Failed: r.Failed, Took: r.Took,
 	}
 	if seen.Target && slices.Contains(s.tried, r.Upstream.ID) {
 		seen.Upstream = r.Upstream.ID
@@ -105,6 +104,16 @@
 	}
 }
 
+// RollsOut reports whether a version of any service is being rolled out.
+func (v *View) RollsOut() bool {
+	for _, s := range v.Services {
+		if s.Split != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // probationPart is the part of a plan's time that a version on probation goes through: it
 // is tried thinly, and no more.
 const probationPart = 0.4
