A version that nobody runs beside serves all calls while it is rolled out

Found by reading: with no upstreams of other versions left, or an order for what everybody runs, the thin share was all that was served and the rest refused. Tests of what each phase leaves in a service's list.

--- a/internal/view/split.go
+++ b/internal/view/split.go
@@ -165,8 +165,12 @@
 	return sp
 }
 
-// try leaves the others to the service and gives the split those that are tried.
+// try leaves the others to the service and gives the split those that are tried. Nil: there
+// are no others, and the version serves all.
 func (v *View) try(w *table.World, s *Service, r *table.Rollout) *Split {
+	if !slices.ContainsFunc(s.Upstreams, func(u Upstream) bool { return u.Version != r.Target }) {
+		return nil
+	}
 	sp := newSplit(w, r)
 	byID := map[string]Upstream{}
 	var ids []string
