--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -159,10 +159,8 @@
 // isAhead reports whether a nested call goes before all that are not, whatever
 // their urgency: if its parent's upstream is short of slots, and shorter than this
 // one. The run that is lost with the call then costs others a place up there, where
-// there are fewer; else it costs them one here. Where the upper service was the
-// shorter, 0.58 of its least urgent calls were served instead of 0.50; where the
-// lower one was, nested calls first took their place from uploads there that were
-// more urgent (0.87 served, 0.44 then).
+// there are fewer; else it costs them one here, and takes it from calls that may be more
+// urgent.
 func (g *Gate) isAhead(a Ask) bool {
 	return a.Nested && a.ParentServed < shortOfSlots && a.ParentServed < g.direct.share(g.now())
 }
@@ -187,20 +185,17 @@
 
 // waitShare is the part of the time left for waiting that the expected wait may
 // take: under overload the queue is always as long as allowed, and real waits lie
-// to both sides of the expected one. At 1, 0.45 of those served waited too long
-// for an ordinary call to be in time.
+// to both sides of the expected one.
 const waitShare = 0.6
 
 // patience returns how long an attempt may wait for a slot: as long as its
 // answer can come within its objective. A longer queue passes no more calls, it
-// only makes all of them late: with one as long as the slots, three quarters of
-// the calls answered under steady overload were.
+// only makes all of them late.
 //
-// Nested calls that have no claim to go first wait for the part of it that their lot says. A run that makes several
-// calls fails if one of them is refused, and what the others took is wasted; with one
-// lot for all of them they are refused together or not at all. At 1.3 times the load
-// that a smaller service takes, 0.05 of the requests whose runs make two calls there
-// fail instead of 0.08.
+// Nested calls that have no claim to go first wait for the part of it that their lot
+// says. A run that makes several calls fails if one of them is refused, and what the
+// others took is wasted; with one lot for all of them they are refused together or not
+// at all.
 func (g *Gate) patience(a Ask) time.Duration {
 	now := g.now()
 	most := a.Deadline.Sub(now)
--- a/internal/admission/lost.go
+++ b/internal/admission/lost.go
@@ -12,15 +12,14 @@
 	// lostFresh is how long what they said is believed.
 	lostFresh = time.Second
 	// lostMost bounds what is believed, as a multiple of the slots: an upstream
-	// that misleads gets no more than it takes into its own queue, four times its
-	// slots where that was seen.
+	// that misleads gets no more than it takes into its own queue.
 	lostMost = 2
 )
 
 // lostAnswers estimates how many attempts in flight the upstream is done with, though
 // their answers never came: connections that went silent. Each would else keep its
-// slot until its deadline, twelve times as long as an ordinary run where that was
-// seen, and the upstream would stand half idle. A gate's mutex guards it.
+// slot until its deadline, and the upstream would stand half idle. A gate's mutex guards
+// it.
 type lostAnswers struct {
 	reports [lostReports]int
 	next    int
--- a/internal/agent/quarantine.go
+++ b/internal/agent/quarantine.go
@@ -15,8 +15,7 @@
 const (
 	// quarantineWait is how long a read waits at the store for a quarantined request.
 	// News come from other daemons; only one that is cut off from all of them waits
-	// for the store, which wakes it at once. At 6 readers and 900 calls a second these
-	// reads cost 0.04 % of what the calls are worth, worked out from the users' prices.
+	// for the store, which wakes it at once.
 	quarantineWait = 10 * time.Second
 	// quarantineRetry is the pause after a read that failed: the reads of the
 	// configuration tell soon enough that the store is back.
--- a/internal/callpath/gone.go
+++ b/internal/callpath/gone.go
@@ -16,8 +16,7 @@
 
 // callerGone reports whether whoever sent the request has closed its connection.
 // The server notices that by itself, but where processor time is short only
-// after it has passed on what waited in the sockets meanwhile: upstreams were
-// seen to start on requests 0.7 s after their callers had left.
+// after it has passed on what waited in the sockets meanwhile.
 func callerGone(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return true
--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -54,7 +54,7 @@
 const (
 	// refusalRatio and refusalBurst bound the further attempts after an owner
 	// refused one because its upstream is full. They reach no upstream and
-	// cost a hop each: at ten times the capacity one in ten calls asks twice.
+	// cost a hop each.
 	refusalRatio = 0.1
 	refusalBurst = 50
 	// foundRoom is what an attempt earns back that found room after all: only those
@@ -62,9 +62,7 @@
 	foundRoom = 1
 	// maxRefused is the most owners without room that a call asks. A daemon among
 	// a hundred hears of each upstream every few seconds, so the first ones asked
-	// are full as often as any. At 1.2 times the load that a smaller service takes,
-	// 0.04 of the requests whose runs call it fail, with 2 owners 0.06; 6 are no
-	// better than 4.
+	// are full as often as any.
 	maxRefused = 4
 	// budgetPart is the part of the retries allowed that daemons plan for. The rest
 	// is for the bursts of those that start anew and for calls that come in waves.
--- a/internal/callpath/transit.go
+++ b/internal/callpath/transit.go
@@ -18,8 +18,8 @@
 // transit measures how much longer than usual a message was on its way. Clocks of two
 // VMs cannot be compared, but the difference between them stays the same from one
 // message to the next: whatever a message took beyond the fastest of late, it lay in
-// queues. An attempt that lay on a narrow link for 0.68 s, with 0.30 s left to it, is
-// refused instead of run for a caller who has gone. Safe for concurrent use.
+// queues. An attempt that lay there for longer than it had left is refused instead of run
+// for a caller who has gone. Safe for concurrent use.
 type transit struct {
 	mu      sync.Mutex
 	senders map[string]*fastest
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -30,8 +30,7 @@
 
 const (
 	// hopCost is what the way to another VM costs as a part of a call's
-	// worth: the second daemon's part of the 0.29 ms of processor time that
-	// BenchmarkCall shows for caller, two daemons and upstream.
+	// worth, for the second daemon's processor time.
 	hopCost = 0.01
 	// farLimit is how much of a call's worth bytes between failure domains
 	// may cost while the own domain has upstreams, even if those are full.
--- a/internal/system/document.go
+++ b/internal/system/document.go
@@ -31,7 +31,7 @@
 	firstWaitPart = 0.45
 	// otherWaitPart is the same for the other roots, who hear from the first one. A
 	// read that waits when they lose it must not outlast the time that a change
-	// may take: with waits of 10 s and a first root cut off, a change took 3.4 s of 2.5.
+	// may take.
 	otherWaitPart = 0.8
 	// longestWait bounds a read at the store, which has a timeout of its own.
 	longestWait = 20 * time.Second
--- a/internal/system/rollouts.go
+++ b/internal/system/rollouts.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,14 +32,9 @@
 // RolloutTold says that operators can read a roll-out's phase on the store.
 type RolloutTold struct{ Record rollout.Record }
 
-const (
-	// tallyEvery is the interval at which what was seen is passed on. A bad version is
-	// to be stopped within seconds, over a tree of three levels.
-	tallyEvery = 700 * time.Millisecond
-	// oldKeep is how long upstreams of other versions get no calls after a roll-out was
-	// completed: they have stopped, and their daemons notice later.
-	oldKeep = 30 * time.Second
-)
+// oldKeep is how long upstreams of other versions get no calls after a roll-out was
+// completed: they have stopped, and their daemons notice later.
+const oldKeep = 30 * time.Second
 
 // receiveOrders takes in orders that are later than what is known.
 func receiveOrders(w *table.World, o Ordered, out *Outbox) {
@@ -221,15 +215,6 @@
 	}
 }
 
-// judge stops the roll-out of a version that is worse than the others.
-func judge(w *table.World, r *table.Rollout, out *Outbox) {
-	target, others := w.UpstreamsOf(r.Service, r.Target)
-	tried := w.Plan(r.Duration).Choose(target, others)
-	if why := rollout.Judge(r.Tally(), len(tried)); why != "" {
-		stopRollout(w, r, why, out)
-	}
-}
-
 // nextRecord returns the record that is to be agreed, and whether it is another than the
 // one followed.
 func nextRecord(w *table.World, now time.Time, r *table.Rollout) (rollout.Record, bool) {
@@ -250,13 +235,6 @@
 	return r.Record, false
 }
 
-// seen sums up the evidence for operators.
-func seen(r *table.Rollout) string {
-	t := r.Tally()
-	a, b := t.Sum(true), t.Sum(false)
-	return fmt.Sprintf("%d answers, %d failed, %d of %d slow; beside them %d, %d, %d of %d", a.N, a.Failed, a.Slow, a.Timed, b.N, b.Failed, b.Slow, b.Timed)
-}
-
 // rolloutTurn reports whether it is this root's turn to write to the store: the roots take
 // turns by waiting longer the later they rank, and one that has written waits for what
 // becomes of it.
@@ -308,152 +286,3 @@
 		}
 	}
 }
-
-// passTallies passes on what was seen: up the tree, and from the top of each failure
-// domain to the other roots.
-func passTallies(w *table.World, out *Outbox) {
-	for _, service := range sortedKeys(w.Rollouts) {
-		r := w.Rollouts[service]
-		if !r.Live() {
-			continue
-		}
-		t := wire.Tally{Service: service, Order: r.ID, Rows: subtree(w, r)}
-		if parent := w.LinkTo(w.MembersTree.Parent); parent != nil && w.MembersTree.Parent != "" {
-			if parent.TakesRollouts && len(t.Rows) > 0 {
-				out.send(parent.ID, t)
-			}
-		} else {
-			t.Domain, t.By = w.Self.Domain, w.Self.ID
-			r.Domains[t.Domain] = t
-		}
-		if w.MembersTree.Root {
-			passDomains(w, r, out)
-		}
-	}
-}
-
-// subtree adds up what this daemon and those behind it have seen.
-func subtree(w *table.World, r *table.Rollout) []rollout.Row {
-	sum := rollout.Tally{}
-	sum.Add(r.Evidence.Rows())
-	for _, l := range w.Links {
-		if t := l.Tallies[r.Service]; t.Order == r.ID && !l.Dialed && l.Domain == w.Self.Domain {
-			sum.Add(t.Rows)
-		}
-	}
-	return sum.Rows()
-}
-
-// passDomains tells other roots what was seen in each failure domain.
-func passDomains(w *table.World, r *table.Rollout, out *Outbox) {
-	own := order(w, w.Self.Domain)
-	roots := own[:min(len(own), w.Params.Roots)]
-	for _, id := range sortedKeys(w.Links) {
-		l := w.Links[id]
-		near := l.Domain == w.Self.Domain
-		isRoot := !near || slices.ContainsFunc(roots, func(m wire.Member) bool { return m.ID == l.Peer })
-		if !l.Up() || l.Probe || !l.TakesRollouts || !isRoot {
-			continue
-		}
-		for _, domain := range sortedKeys(r.Domains) {
-			if t := r.Domains[domain]; len(t.Rows) > 0 && t.By != l.Peer && (near || domain == w.Self.Domain) {
-				out.send(id, t)
-			}
-		}
-	}
-}
-
-// hearTally takes in what others have seen.
-func hearTally(w *table.World, l *table.Link, t wire.Tally, out *Outbox) {
-	r := w.Rollouts[t.Service]
-	if r == nil || r.ID != t.Order || !r.Live() {
-		return // of a roll-out that has ended, or that is not known here yet
-	}
-	if !rollout.ValidRows(t.Rows) {
-		out.event(event.Event{Kind: event.RolloutRefused, Service: t.Service, Peer: l.Peer, Detail: "malformed tally of a roll-out"})
-		return
-	}
-	if t.Domain == "" {
-		if l.Tallies == nil {
-			l.Tallies = map[string]wire.Tally{}
-		}
-		l.Tallies[t.Service] = t
-		return
-	}
-	if old := r.Domains[t.Domain]; old.By != t.By || calls(t) >= calls(old) {
-		r.Domains[t.Domain] = t
-	}
-}
-
-func calls(t wire.Tally) int {
-	n := 0
-	for _, row := range t.Rows {
-		n += row.N
-	}
-	return n
-}
-
-// noteVersions takes note of the versions of each service. One that appears beside others
-// is on probation for as long as an order for it may take to be heard of: without any, it
-// is then like the others.
-func noteVersions(w *table.World, now time.Time) {
-	if !w.ViewDirty && now.Before(w.VersionsDue) {
-		return
-	}
-	seen := map[string]map[string]time.Time{}
-	each := func(m wire.Member) {
-		for _, u := range m.Upstreams {
-			if seen[u.Service] == nil {
-				seen[u.Service] = map[string]time.Time{}
-			}
-			at, known := w.Versions[u.Service][u.Version]
-			if !known {
-				at = now
-			}
-			seen[u.Service][u.Version] = at
-		}
-	}
-	each(w.Self)
-	for _, row := range w.Members {
-		if !row.Lapsed {
-			each(row.Member)
-		}
-	}
-	w.Versions = seen
-	probation := map[string]string{}
-	w.VersionsDue = now.Add(w.Params.InForce)
-	for service, versions := range seen {
-		if v, until := newcomer(versions, now, w.Params.InForce); v != "" {
-			probation[service] = v
-			w.VersionsDue = earlier(w.VersionsDue, until)
-		}
-	}
-	if len(probation) != len(w.Probation) {
-		w.ViewDirty = true
-	}
-	w.Probation = probation
-}
-
-// newcomer returns the version that has appeared last, if that was lately and others were
-// there long before.
-func newcomer(versions map[string]time.Time, now time.Time, probation time.Duration) (string, time.Time) {
-	last, established := "", false
-	for v, at := range versions {
-		if now.Sub(at) >= probation {
-			established = true
-		} else if last == "" || at.After(versions[last]) {
-			last = v
-		}
-	}
-	if !established || last == "" {
-		return "", time.Time{}
-	}
-	return last, versions[last].Add(probation)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/internal/system/topology.go
+++ b/internal/system/topology.go
@@ -27,12 +27,12 @@
 )
 
 // wideLink is from which width on links are all alike for control, in Mbit/s: a
-// reader passes a document of 450 KB on to 8 others within 0.6 s.
+// reader passes the largest documents on to all of its children within a second.
 const wideLink = 50
 
 // narrowness ranks a link: 0 for wide ones, then a step for each time that it is
-// half as wide. Relays with 5 Mbit/s took 0.7 s to read a document of 450 KB and as
-// long for each copy that they passed on, and changes missed their bound behind them.
+// half as wide. A relay on a narrow one takes as long for each copy that it passes on as
+// for reading a document, and changes miss their bound behind it.
 func narrowness(m wire.Member) int {
 	if m.LinkMbps == 0 || m.LinkMbps >= wideLink {
 		return 0
