An attempt whose way is too slow for its time goes elsewhere

It was refused for its deadline, and so not tried again, though time was left: what a connection took to open is only a guess at the way. It counts as one that could not be reached now.

--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -155,14 +155,16 @@
 // the fastest from the same sender. Of the first ones it can know nothing, so that what a
 // connection took to open is taken off here.
 func stampTimes(ctx context.Context, h http.Header, a *Attempt, waited time.Duration) outcome.Reason {
-	left := time.Until(a.Deadline) - waited
+	left := time.Until(a.Deadline)
 	switch {
 	case left <= 0:
 		return outcome.ReasonDeadline
+	case left <= waited:
+		return outcome.ReasonUnreachable // in time; another may be nearer
 	case callerGone(ctx):
 		return outcome.ReasonCancelled
 	}
-	h.Set(headerLeft, strconv.FormatInt(left.Microseconds(), 10))
+	h.Set(headerLeft, strconv.FormatInt((left-waited).Microseconds(), 10))
 	h.Set(headerSent, strconv.FormatInt(boottime().Microseconds(), 10))
 	if !a.Objective.IsZero() {
 		h.Set(headerObjective, strconv.FormatInt(time.Until(a.Objective).Microseconds(), 10))
