A roll-out's upstreams are looked up once a tick, and one walk finds the live members

Found by reading the whole change again; behaviour stays. On each tick a root looked up the upstreams of a roll-out twice, and went on to after its end, for as long as it was known. What an owner refused faded by one exponential for each of all urgencies at every attempt; one serves all. The walk over this daemon and the members that have not lapsed stood three times.

--- a/internal/pick/room.go
+++ b/internal/pick/room.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// kept is the part of what is known that counts yet: none before anything is.
+func (r *room) kept(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return math.Exp(-float64(now.Sub(r.at)) / float64(roomMemory))
+}
+
 // noteRoom takes in what became of an attempt.
 func (p *Picker) noteRoom(service string, st *stats, urgency config.Urgency, r outcome.Result, now time.Time) {
 	all := p.rooms[service]
@@ -52,8 +60,9 @@
 		all = &room{}
 		p.rooms[service] = all
 	}
-	for u := range st.room.refused {
-		st.room.refused[u] = p.refused(service, st, config.Urgency(u), now)
+	keep := st.room.kept(now)
+	for u, refused := range st.room.refused {
+		st.room.refused[u] = all.refused[u] + keep*(refused-all.refused[u])
 	}
 	st.room.note(urgency, r, roomWeight, now)
 	all.note(urgency, r, serviceRoomWeight, now)
@@ -67,10 +76,10 @@
 	switch {
 	case all == nil:
 		return 0
-	case st == nil || st.room.at.IsZero():
+	case st == nil:
 		return all.refused[urgency]
 	}
-	keep := math.Exp(-float64(now.Sub(st.room.at)) / float64(roomMemory))
+	keep := st.room.kept(now)
 	return all.refused[urgency] + keep*(st.room.refused[urgency]-all.refused[urgency])
 }
 
--- a/internal/system/rollouts.go
+++ b/internal/system/rollouts.go
@@ -199,10 +199,14 @@
 	if !w.MembersTree.Root {
 		return
 	}
-	if r.Live() && r.Stop == "" {
-		judge(w, r, out)
+	next, wanted := r.Record, false
+	if r.Live() {
+		target, others := w.UpstreamsOf(r.Service, r.Target)
+		if r.Stop == "" {
+			judge(w, r, target, others, out)
+		}
+		next, wanted = nextRecord(w, now, r, len(target))
 	}
-	next, wanted := nextRecord(w, now, r)
 	switch {
 	case wanted || !r.Held:
 		if rolloutTurn(w, now, r) {
@@ -215,19 +219,17 @@
 	}
 }
 
-// nextRecord returns the record that is to be agreed, and whether it is another than the
-// one followed.
-func nextRecord(w *table.World, now time.Time, r *table.Rollout) (rollout.Record, bool) {
+// nextRecord returns the record that is to be agreed, of a roll-out that goes on with so
+// many upstreams of the new version, and whether it is another than the one followed.
+func nextRecord(w *table.World, now time.Time, r *table.Rollout, target int) (rollout.Record, bool) {
 	plan := w.Plan(r.Duration)
 	elapsed := now.Sub(r.Since)
-	target, _ := w.UpstreamsOf(r.Service, r.Target)
 	switch {
-	case !r.Live():
 	case r.Stop != "":
 		return r.To(rollout.Reverted, r.Stop), true
-	case len(target) == 0 && elapsed >= plan.MoveAt()+plan.CompleteAfter():
+	case target == 0 && elapsed >= plan.MoveAt()+plan.CompleteAfter():
 		return r.To(rollout.Reverted, "no upstream of the version takes calls"), true
-	case r.Phase == rollout.Trying && elapsed >= plan.MoveAt() && len(target) > 0:
+	case r.Phase == rollout.Trying && elapsed >= plan.MoveAt() && target > 0:
 		return r.To(rollout.Moving, ""), true
 	case r.Phase == rollout.Moving && now.Sub(r.PhaseSince) >= plan.CompleteAfter():
 		return r.To(rollout.Completed, seen(r)), true
--- a/internal/system/tallies.go
+++ b/internal/system/tallies.go
@@ -16,8 +16,7 @@
 const tallyEvery = 700 * time.Millisecond
 
 // judge stops the roll-out of a version that is worse than the others.
-func judge(w *table.World, r *table.Rollout, out *Outbox) {
-	target, others := w.UpstreamsOf(r.Service, r.Target)
+func judge(w *table.World, r *table.Rollout, target []string, others int, out *Outbox) {
 	tried := w.Plan(r.Duration).Choose(target, others)
 	if why := rollout.Judge(r.Tally(), len(tried)); why != "" {
 		stopRollout(w, r, why, out)
--- a/internal/system/versions.go
+++ b/internal/system/versions.go
@@ -15,7 +15,7 @@
 		return
 	}
 	seen := map[string]map[string]time.Time{}
-	each := func(m wire.Member) {
+	w.EachLive(func(m wire.Member) {
 		for _, u := range m.Upstreams {
 			if seen[u.Service] == nil {
 				seen[u.Service] = map[string]time.Time{}
@@ -26,13 +26,7 @@
 			}
 			seen[u.Service][u.Version] = at
 		}
-	}
-	each(w.Self)
-	for _, row := range w.Members {
-		if !row.Lapsed {
-			each(row.Member)
-		}
-	}
+	})
 	w.Versions = seen
 	probation := map[string]string{}
 	w.VersionsDue = now.Add(w.Params.InForce)
--- a/internal/table/member.go
+++ b/internal/table/member.go
@@ -51,6 +51,16 @@
 	w.ViewDirty = true
 }
 
+// EachLive calls f for this daemon and every other that has not lapsed.
+func (w *World) EachLive(f func(wire.Member)) {
+	f(w.Self)
+	for _, row := range w.Members {
+		if !row.Lapsed {
+			f(row.Member)
+		}
+	}
+}
+
 // Forget removes a member for good.
 func (w *World) Forget(id string) {
 	delete(w.Members, id)
--- a/internal/table/rollout.go
+++ b/internal/table/rollout.go
@@ -56,7 +56,7 @@
 // UpstreamsOf returns the IDs of a service's upstreams that take calls: those of the
 // version and how many there are of others.
 func (w *World) UpstreamsOf(service, version string) (ids []string, others int) {
-	each := func(m wire.Member) {
+	w.EachLive(func(m wire.Member) {
 		for _, u := range m.Upstreams {
 			switch {
 			case m.Leaving || u.Service != service || u.Draining:
@@ -66,12 +66,6 @@
 				others++
 			}
 		}
-	}
-	each(w.Self)
-	for _, row := range w.Members {
-		if !row.Lapsed {
-			each(row.Member)
-		}
-	}
+	})
 	return ids, others
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -76,12 +76,7 @@
 		routes = before.Routes
 	}
 	v.Routes = routes.follow(state)
-	v.addMember(w.Self, true)
-	for _, row := range w.Members {
-		if !row.Lapsed {
-			v.addMember(row.Member, false)
-		}
-	}
+	w.EachLive(func(m wire.Member) { v.addMember(m, m.ID == w.Self.ID) })
 	for _, s := range v.Services {
 		slices.SortFunc(s.Upstreams, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
