One walk over the neighbours, one way to read records that anybody may have written

Found by reading the whole change again; behaviour stays. The connections that news go out on were picked by the same condition in five places: neighbours. Records of quarantined requests, of roll-outs and of addresses were read by three loops that leave out and count what another writer left: known. A comment told a sum that follows from its constants.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -267,24 +267,13 @@
 	})
 }
 
-// addresses returns the addresses that daemons have left, the newest first. A record
-// that another writer left names nobody; the others hold.
+// addresses returns the addresses that daemons have left, the newest first.
 func addresses(entries []store.Entry, logger zerolog.Logger) []string {
 	slices.SortFunc(entries, func(x, y store.Entry) int { return cmp.Compare(y.Offset, x.Offset) })
-	var addrs []string
-	foreign := 0
-	for _, e := range entries {
+	addrs := known(entries, logger, "find daemons", "addresses", func(e store.Entry) (string, bool) {
 		var rec address
-		if err := json.Unmarshal(e.Data, &rec); err != nil || rec.Peer == "" {
-			foreign++
-			continue
-		}
-		if len(addrs) < seedsMax {
-			addrs = append(addrs, rec.Peer)
-		}
-	}
-	if foreign > 0 {
-		logger.Warn().Str("step", "find daemons").Int("records", foreign).Msg("no addresses, left out")
-	}
-	return addrs
+		err := json.Unmarshal(e.Data, &rec)
+		return rec.Peer, err == nil && rec.Peer != ""
+	})
+	return addrs[:min(len(addrs), seedsMax)]
 }
--- a/internal/agent/quarantine.go
+++ b/internal/agent/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -60,26 +61,13 @@
 	return system.QuarantineRead{Records: q.decode(n.Entries), Whole: true}
 }
 
-// decode returns the records of entries. One that another writer left names no request;
-// the others hold. One without a value was dropped.
+// decode returns the records of entries. One without a value was dropped.
 func (q *quarantineReader) decode(entries []store.Entry) []suspect.Record {
-	var records []suspect.Record
-	foreign := 0
-	for _, e := range entries {
-		if len(e.Data) == 0 {
-			continue
-		}
-		var r suspect.Record
-		if json.Unmarshal(e.Data, &r) != nil || !r.Valid() || r.Digest.String() != e.Key {
-			foreign++
-			continue
-		}
-		records = append(records, r)
-	}
-	if foreign > 0 {
-		q.logger.Warn().Str("step", "read quarantine").Int("records", foreign).Msg("no quarantined requests, left out")
-	}
-	return records
+	entries = slices.DeleteFunc(slices.Clone(entries), func(e store.Entry) bool { return len(e.Data) == 0 })
+	return known(entries, q.logger, "read quarantine", "quarantined requests", func(e store.Entry) (r suspect.Record, ok bool) {
+		err := json.Unmarshal(e.Data, &r)
+		return r, err == nil && r.Valid() && r.Digest.String() == e.Key
+	})
 }
 
 func (a *Agent) readQuarantine() {
--- a/internal/agent/rollout.go
+++ b/internal/agent/rollout.go
@@ -50,22 +50,11 @@
 	a.input(read)
 }
 
-// decodeRollouts returns the records of entries. What another writer left is left out.
 func (a *Agent) decodeRollouts(entries []store.Entry) []rollout.Record {
-	var records []rollout.Record
-	foreign := 0
-	for _, e := range entries {
-		var r rollout.Record
-		if json.Unmarshal(e.Data, &r) != nil || r.Check() != nil || r.Service != e.Key {
-			foreign++
-			continue
-		}
-		records = append(records, r)
-	}
-	if foreign > 0 {
-		a.logger.Warn().Str("step", "read roll-outs").Int("records", foreign).Msg("no roll-outs, left out")
-	}
-	return records
+	return known(entries, a.logger, "read roll-outs", "roll-outs", func(e store.Entry) (r rollout.Record, ok bool) {
+		err := json.Unmarshal(e.Data, &r)
+		return r, err == nil && r.Check() == nil && r.Service == e.Key
+	})
 }
 
 // agreeRollout leaves a record on the store if it follows the one there and nobody writes
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -18,8 +18,8 @@
 	loadUntil  = 0.55
 	moveFrom   = 0.72
 	// tasteShare, loadShare and pauseShare are the parts of the calls in these times, as
-	// multiples of the exposure allowed; over the whole time they are 0.69 of it. What
-	// is left covers repeats and daemons that hear of a phase late.
+	// multiples of the exposure allowed. Over the whole time they stay below it: the rest
+	// covers repeats and daemons that hear of a phase late.
 	tasteShare = 0.5
 	loadShare  = 3.0
 	pauseShare = 0.25
--- a/internal/system/config.go
+++ b/internal/system/config.go
@@ -220,11 +220,7 @@
 	c.PushDirty = false
 	c.NextPush = now.Add(w.Params.Window)
 	s := c.State
-	for _, id := range sortedKeys(w.Links) {
-		l := w.Links[id]
-		if !l.Up() || l.Probe {
-			continue
-		}
+	for _, l := range neighbours(w) {
 		known := max(l.Sent, l.Position)
 		child := !l.Dialed && l.Domain == w.Self.Domain
 		if known >= s.Position && l.Base == s.Base {
--- a/internal/system/gossip.go
+++ b/internal/system/gossip.go
@@ -34,11 +34,7 @@
 	if w.Outgoing.Due.IsZero() || now.Before(w.Outgoing.Due) {
 		return
 	}
-	for _, id := range sortedKeys(w.Links) {
-		l := w.Links[id]
-		if !l.Up() || l.Probe {
-			continue
-		}
+	for _, l := range neighbours(w) {
 		if m := gathered(w, now, l); len(m.Full)+len(m.Beats) > 0 {
 			out.send(l.ID, m)
 		}
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -11,6 +11,18 @@
 // busyRetry is when a daemon that has too many connections may be tried again.
 const busyRetry = 5 * time.Second
 
+// neighbours returns the connections that news go out on, in a fixed order: those whose
+// other end has said who it is, but for short ones that only compare states.
+func neighbours(w *table.World) []*table.Link {
+	var list []*table.Link
+	for _, id := range sortedKeys(w.Links) {
+		if l := w.Links[id]; l.Up() && !l.Probe {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
 func open(w *table.World, now time.Time, o Opened, out *Outbox) {
 	l := &table.Link{
 		ID: o.Link, Dialed: o.Dialed, Probe: o.Probe, Addr: o.Addr,
--- a/internal/system/rollouts.go
+++ b/internal/system/rollouts.go
@@ -272,19 +272,18 @@
 	if len(news) == 0 {
 		return
 	}
-	for _, id := range sortedKeys(w.Links) {
-		l := w.Links[id]
-		if !l.Up() || l.Probe || !l.TakesRollouts {
+	for _, l := range neighbours(w) {
+		if !l.TakesRollouts {
 			continue
 		}
 		var m wire.Rollouts
 		for _, r := range news {
-			if r.From != id {
+			if r.From != l.ID {
 				m.States = append(m.States, stateOf(r, now))
 			}
 		}
 		if len(m.States) > 0 {
-			out.send(id, m)
+			out.send(l.ID, m)
 		}
 	}
 }
--- a/internal/system/suspects.go
+++ b/internal/system/suspects.go
@@ -77,9 +77,8 @@
 }
 
 func passSuspects(w *table.World, changes []suspect.Change, out *Outbox) {
-	for _, id := range sortedKeys(w.Links) {
-		l := w.Links[id]
-		if !l.Up() || l.Probe || !l.TakesSuspects {
+	for _, l := range neighbours(w) {
+		if !l.TakesSuspects {
 			continue
 		}
 		var m wire.Suspects
--- a/internal/system/tallies.go
+++ b/internal/system/tallies.go
@@ -69,16 +69,15 @@
 func passDomains(w *table.World, r *table.Rollout, out *Outbox) {
 	own := order(w, w.Self.Domain)
 	roots := own[:min(len(own), w.Params.Roots)]
-	for _, id := range sortedKeys(w.Links) {
-		l := w.Links[id]
+	for _, l := range neighbours(w) {
 		near := l.Domain == w.Self.Domain
 		isRoot := !near || slices.ContainsFunc(roots, func(m wire.Member) bool { return m.ID == l.Peer })
-		if !l.Up() || l.Probe || !l.TakesRollouts || !isRoot {
+		if !l.TakesRollouts || !isRoot {
 			continue
 		}
 		for _, domain := range sortedKeys(r.Domains) {
 			if t := r.Domains[domain]; len(t.Rows) > 0 && t.By != l.Peer && (near || domain == w.Self.Domain) {
-				out.send(id, t)
+				out.send(l.ID, t)
 			}
 		}
 	}
