Sight: what became of each document, which place a call without a route asked for

Callers saw 404 on routes that a later version has; their lines in the log are those of calls on routes that never were, and nothing says whether a document was read, what became of it, how old the version in force is, or when the store last said that it is the newest. So none of the hypotheses of the incident can be told from another.

Each document read is an event now (document-read, document-refused, with the version that stays); a call without a route tells host, path without its query, how long the version is in force and when it was last known to be the newest; the same as gauges, and counters of documents read and refused. No decision changed.

Ruled out: passing the freshness of the configuration on to all daemons where keys do not need it (messages for a line in a log; the daemons that read the store know).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -65,6 +65,7 @@
 	log      store.Log
 	logger   zerolog.Logger
 	metrics  metrics.Registry
+	config   *configMetrics
 	source   DocumentSource
 	teller   Teller
 	self     wire.Member
@@ -140,6 +141,7 @@
 	a.quarantine = quarantineReader{log: opts.Log, logger: opts.Logger}
 	a.world = table.New(a.self, params, a.suspects, now, seed)
 	a.transport = peer.New(a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
+	a.config = newConfigMetrics(a.metrics)
 	m := callpath.NewMetrics(a.metrics)
 	limiter := limits.New(limits.Config{
 		Domain: s.FailureDomain, Tolerance: s.Bounds.Tolerance(), Metrics: a.metrics, Logger: opts.Logger,
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -137,7 +137,9 @@
 	if a.view != nil && a.view.Version >= a.world.Config.State.Version {
 		a.ingress.Vouch(out.Stamp)
 	}
+	a.config.update(a.world)
 	for _, e := range out.Events {
+		a.config.count(e)
 		a.note(e)
 	}
 	for _, s := range out.Sends {
@@ -162,10 +164,10 @@
 	switch e.Kind {
 	case event.Alarm:
 		level = a.logger.Error()
-	case event.LogDown, event.LinkLost, event.UpstreamGone, event.Quarantined, event.RolloutStopped, event.RolloutRefused, event.ConfigStale:
+	case event.LogDown, event.DocumentRefused, event.LinkLost, event.UpstreamGone, event.Quarantined, event.RolloutStopped, event.RolloutRefused, event.ConfigStale:
 		level = a.logger.Warn()
 	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining,
-		event.Rollout, event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged, event.ConfigFresh:
+		event.Rollout, event.DocumentRead, event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged, event.ConfigFresh:
 		level = a.logger.Info()
 	}
 	level.Str("step", string(e.Kind)).Str("peer", e.Peer).Str("service", e.Service).
--- a/internal/callpath/log.go
+++ b/internal/callpath/log.go
@@ -6,6 +6,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/freshness"
 	"github.com/comfreygate/comfreygate/internal/limits"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -82,10 +84,33 @@
 	if !mayLog(in.cfg.Logger, &in.refusalLines, in.cfg.Now(), "refuse") {
 		return
 	}
-	in.callFields(in.cfg.Logger.Info(), c, r).Int("status", statusOf(r)).
+	e := in.callFields(in.cfg.Logger.Info(), c, r)
+	if c.route == nil {
+		e = in.placeFields(e, c)
+	}
+	e.Int("status", statusOf(r)).
 		Int64("retry_after_ms", r.RetryAfter.Milliseconds()).Str("step", "refuse").Err(r.Err).Msg("call refused")
 }
 
+// maxPlace bounds what a line holds of a host or a path, in bytes: callers may send anything.
+const maxPlace = 96
+
+// placeFields adds what a call without a route asked for, how long the version that has no
+// such route has been in force here, and when it was last known to be the newest. The query
+// is left out: callers may put what is secret there.
+func (in *Ingress) placeFields(e *zerolog.Event, c *call) *zerolog.Event {
+	e = e.Str("host", cut(c.attempt.Host)).Str("path", cut(c.attempt.URL.Path))
+	if since := in.view.Load().Since; !since.IsZero() {
+		e = e.Int64("in_force_ms", in.cfg.Now().Sub(since).Milliseconds())
+	}
+	if stamp := freshness.Stamp(in.stamp.Load()); stamp > 0 {
+		e = e.Int64("checked_ms", stamp.Age(boottime.Now()).Milliseconds())
+	}
+	return e
+}
+
+func cut(s string) string { return s[:min(len(s), maxPlace)] }
+
 // logRetry says why a call goes to another upstream.
 func (in *Ingress) logRetry(c *call, u view.Upstream, r outcome.Result) {
 	if !mayLog(in.cfg.Logger, &in.retryLines, in.cfg.Now(), "retry") {
--- a/internal/callpath/log_test.go
+++ b/internal/callpath/log_test.go
@@ -1,10 +1,18 @@
 package callpath
 
 import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/freshness"
 )
 
 func TestLinesAreBoundedAndTheRestIsCounted(t *testing.T) {
@@ -24,3 +32,37 @@
 	_, suppressed = l.allow(at.Add(time.Second))
 	is.Equal(suppressed, 0) // told once
 }
+
+// TestCallWithoutARouteTellsItsPlaceAndTheVersionsAge guards against refusals that cannot be
+// told apart: of a route that never was, and of one that only a later version has.
+func TestCallWithoutARouteTellsItsPlaceAndTheVersionsAge(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 4, 0)
+	var output bytes.Buffer
+	r.ingress.cfg.Logger = zerolog.New(&output)
+	v := *r.ingress.view.Load()
+	v.Since = time.Now().Add(-3 * time.Second)
+	r.ingress.Update(&v)
+	r.ingress.Vouch(freshness.Stamp(boottime.Now() - 2*time.Second))
+
+	req, err := http.NewRequest(http.MethodGet, r.srv.URL+"/added/"+strings.Repeat("x", 2*maxPlace)+"?secret=1", nil)
+	is.NoErr(err)
+	req.Host = "h.example"
+	res, err := r.client.Do(req)
+	is.NoErr(err)
+	res.Body.Close()
+	is.Equal(res.StatusCode, http.StatusNotFound)
+
+	var line struct {
+		Reason, Host, Path string
+		InForceMs          int64 `json:"in_force_ms"`
+		CheckedMs          int64 `json:"checked_ms"`
+	}
+	is.NoErr(json.Unmarshal(output.Bytes(), &line))
+	is.Equal(line.Reason, "no-route")
+	is.Equal(line.Host, "h.example")
+	is.True(strings.HasPrefix(line.Path, "/added/x") && len(line.Path) == maxPlace)
+	is.True(line.InForceMs >= 3000 && line.InForceMs < 60_000)
+	is.True(line.CheckedMs >= 2000 && line.CheckedMs < 60_000)
+	is.True(!strings.Contains(output.String(), "secret"))
+}
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -31,7 +31,7 @@
 // parse checks a request against the view. Without a route in the call the
 // result says why it is refused.
 func (in *Ingress) parse(v *view.View, fresh bool, w http.ResponseWriter, r *http.Request, now time.Time) (call, outcome.Result) {
-	c := call{attempt: Attempt{Request: in.requestID(r)}}
+	c := call{attempt: Attempt{Request: in.requestID(r), Host: r.Host, URL: r.URL}}
 	if !v.Ready {
 		return c, outcome.Refuse(outcome.ReasonNotReady, pick.UnknownAfter)
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -43,6 +43,8 @@
 	CommandAccepted  Kind = "command-accepted"
 	CommandRejected  Kind = "command-rejected"
 	Applied          Kind = "applied"
+	DocumentRead     Kind = "document-read"
+	DocumentRefused  Kind = "document-refused"
 	ParentChanged    Kind = "parent-changed"
 	LinkLost         Kind = "link-lost"
 	UpstreamUp       Kind = "upstream-announced"
--- a/internal/system/config.go
+++ b/internal/system/config.go
@@ -170,6 +170,9 @@
 		return
 	}
 	w.Config.State = next
+	if next.Version != old.Version {
+		w.Config.Since = now
+	}
 	w.Config.History = append(w.Config.History, records...)
 	if extra := len(w.Config.History) - historyLen; extra > 0 {
 		w.Config.History = append([][]byte(nil), w.Config.History[extra:]...)
--- a/internal/system/document.go
+++ b/internal/system/document.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -65,7 +66,7 @@
 	w.Log.CaughtUp = true
 	rest(w, now)
 	if invalid != nil {
-		raise(w, AlarmDocument, invalid.Error(), out)
+		refuseDocument(w, 0, invalid, out)
 		return
 	}
 	if useDocument(w, now, r.Document, out) {
@@ -77,20 +78,38 @@
 // whether none that is held back is newer. One that cannot be used may have taken keys away;
 // the store tells of it once, and then that there is nothing newer.
 func useDocument(w *table.World, now time.Time, d config.Document, out *Outbox) bool {
-	if d.Version <= w.Config.State.Version {
+	held := w.Config.State
+	if d.Version <= held.Version {
+		if d.Version > 0 {
+			noteDocument(d.Version, fmt.Sprintf("no later than version %d, which is held", held.Version), out)
+		}
 		return d.Version > 0 || w.Alarms[AlarmDocument] == ""
 	}
-	next, delta, err := d.Follow(w.Config.State)
+	next, delta, err := d.Follow(held)
 	if err != nil {
-		raise(w, AlarmDocument, err.Error(), out)
+		refuseDocument(w, d.Version, err, out)
 		return false
 	}
 	clearAlarm(w, AlarmDocument)
 	noteKinds(w, d, out)
+	noteDocument(d.Version, fmt.Sprintf("takes the place of version %d, %d routes", held.Version, len(d.Content.Routes)), out)
 	installDocument(w, now, next, delta, out)
 	return true
 }
 
+// refuseDocument says that a document is not put in force and which version stays. Version
+// 0: that of the document cannot be read.
+func refuseDocument(w *table.World, version uint64, why error, out *Outbox) {
+	out.event(event.Event{
+		Kind: event.DocumentRefused, Version: version, Detail: fmt.Sprintf("version %d stays: %v", w.Config.State.Version, why),
+	})
+	raise(w, AlarmDocument, why.Error(), out)
+}
+
+func noteDocument(version uint64, outcome string, out *Outbox) {
+	out.event(event.Event{Kind: event.DocumentRead, Version: version, Detail: outcome})
+}
+
 // noteKinds warns of routes whose kind nobody here knows.
 func noteKinds(w *table.World, d config.Document, out *Outbox) {
 	if len(d.Unknown) == 0 {
--- a/internal/system/document_test.go
+++ b/internal/system/document_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
 )
@@ -162,3 +163,31 @@
 	tell("c", "y:1", 40)
 	is.True(w.Members["a"].Lapsed) // another one has its address now
 }
+
+// TestEachDocumentReadIsTold guards against documents that are read and leave no trace: what
+// became of each is an event of its own, with its version.
+func TestEachDocumentReadIsTold(t *testing.T) {
+	is := is.New(t)
+	w := documentWorld()
+	told := func(r DocumentRead) []event.Event {
+		var list []event.Event
+		for _, e := range Tick(w, time.Unix(1001, 0), []Input{r}).Events {
+			if e.Kind == event.DocumentRead || e.Kind == event.DocumentRefused {
+				e.Clock = 0
+				list = append(list, e)
+			}
+		}
+		return list
+	}
+	is.Equal(told(DocumentRead{Document: documentOf(5, 3)}), []event.Event{
+		{Kind: event.DocumentRead, Version: 5, Detail: "takes the place of version 0, 3 routes"},
+	})
+	is.Equal(told(DocumentRead{Document: documentOf(4, 3)}), []event.Event{
+		{Kind: event.DocumentRead, Version: 4, Detail: "no later than version 5, which is held"},
+	})
+	is.Equal(told(DocumentRead{Err: &config.InvalidError{Err: errors.New("cut short")}}), []event.Event{
+		{Kind: event.DocumentRefused, Detail: "version 5 stays: cut short"},
+	})
+	is.Equal(told(DocumentRead{}), nil) // nothing was read
+	is.Equal(w.Config.Since, time.Unix(1001, 0))
+}
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -129,7 +129,7 @@
 	ReadRollouts  bool
 	AgreeRollouts []rollout.Record
 	TellRollouts  []rollout.Record
-	// Stamp is when the configuration held was the newest for sure, where that matters.
+	// Stamp is when the configuration held was the newest for sure; zero: not known.
 	Stamp freshness.Stamp
 	// Refresh says that the view of the call path is out of date.
 	Refresh bool
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -197,6 +197,8 @@
 // Config is the configuration held.
 type Config struct {
 	State *config.State
+	// Since is when the state's version was taken in; zero: there is none yet.
+	Since time.Time
 	// History holds the last records, ending before State.Position.
 	History [][]byte
 	// Past holds the steps to the document held, the oldest first.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -53,6 +53,8 @@
 type View struct {
 	// Version is the configuration version in force.
 	Version uint64
+	// Since is when this daemon took that version in.
+	Since time.Time
 	// Ready says whether calls may be taken in at all.
 	Ready bool
 	// Leaving says that this daemon stops: its upstreams take no new work.
@@ -79,6 +81,7 @@
 	state := w.Config.State
 	v := &View{
 		Version:  state.Version,
+		Since:    w.Config.Since,
 		Ready:    w.Ready,
 		Leaving:  w.Self.Leaving,
 		Services: make(map[string]*Service, len(state.Content.Services)),
