--- a/internal/config/entity.go
+++ b/internal/config/entity.go
@@ -115,7 +115,7 @@
 // Share is a service's part of a route's calls.
 type Share struct {
 	Service string `json:"service"`
-	// Weight is the part, in relation to the sum of the route's weights.
+	// Weight is the part, in relation to the sum of the route's weights. Zero: no calls.
 	Weight int `json:"weight"`
 }
 
--- a/internal/view/routes.go
+++ b/internal/view/routes.go
@@ -145,6 +145,9 @@
 		total += t.Weight
 	}
 	for _, t := range r.Targets() {
+		if t.Weight == 0 {
+			continue // also the last one, which takes what rounding leaves
+		}
 		sum += t.Weight
 		list = append(list, Target{Service: t.Service, Until: float64(sum) / float64(total)})
 	}
