A daemon whose record has no address holds no view back

Cause: a view with such an upstream is inconsistent and not put in force, as a whole, and with it no later configuration. Records are told by other daemons, of this and of other releases.

Change: upstreams of such a daemon are left out, as those of one that leaves; the check of the view stays as it is.

Evidence: TestMemberWithoutAnAddressHoldsNoViewBack failed with 'view 5: service s has upstream odd/u without a place'.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -111,8 +111,9 @@
 	return v
 }
 
+// addMember adds the upstreams of a daemon that calls can be sent to.
 func (v *View) addMember(m wire.Member, local bool) {
-	if m.Leaving {
+	if m.Leaving || m.Owner == "" {
 		return
 	}
 	for _, u := range m.Upstreams {
