A caller may say how long it waits as any number

Change: any number from 0 on is taken, cut down to the longest timeout that a policy may have. What is no number is still refused.

Evidence: TestTimeoutsMayHaveFractions failed with 400 for 2500.0, 2500.5, 1e3 and one of 20 digits.

--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -94,11 +94,11 @@
 		return time.Time{}
 	}
 	at := now.Add(policy.Objective)
-	left, err := optionalInt(r.Header.Get(in.cfg.Dialect.Timeout), 0)
+	left, err := optionalMs(r.Header.Get(in.cfg.Dialect.Timeout), 0)
 	if err != nil || left == 0 || c.attempt.Nested {
 		return at // nested calls are given what their parents have left
 	}
-	return at.Add(-in.picker.Waited(c.route.Name, time.Duration(left)*time.Millisecond, policy.Timeout))
+	return at.Add(-in.picker.Waited(c.route.Name, left, policy.Timeout))
 }
 
 // maxBody returns the bound on a request's body, in bytes.
@@ -152,11 +152,24 @@
 // callTimeout returns the policy's timeout, or the caller's if that is less.
 func (in *Ingress) callTimeout(route *view.Route, r *http.Request) (time.Duration, error) {
 	header := in.cfg.Dialect.Timeout
-	ms, err := optionalInt(r.Header.Get(header), int(route.Policy.Timeout.Milliseconds()))
+	timeout, err := optionalMs(r.Header.Get(header), route.Policy.Timeout)
 	if err != nil {
 		return 0, errors.Wrap(err, header)
 	}
-	return min(route.Policy.Timeout, time.Duration(ms)*time.Millisecond), nil
+	return min(route.Policy.Timeout, timeout), nil
+}
+
+// optionalMs reads a time in milliseconds, as any number from 0 on. Times beyond what a
+// policy may allow are cut down to that.
+func optionalMs(s string, absent time.Duration) (time.Duration, error) {
+	if s == "" {
+		return absent, nil
+	}
+	ms, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(ms >= 0) {
+		return 0, errors.Errorf("%q is not a number of milliseconds from 0 on", s)
+	}
+	return time.Duration(min(ms, float64(config.MaxTimeout.Milliseconds())) * float64(time.Millisecond)), nil
 }
 
 func optionalInt(s string, absent int) (int, error) {
--- a/internal/callpath/request_test.go
+++ b/internal/callpath/request_test.go
@@ -31,3 +31,26 @@
 	is.Equal(res.Header.Get(HeaderReason), "no-service")
 	is.True(res.Header.Get("Retry-After") != "")
 }
+
+// TestTimeoutsMayHaveFractions guards against proper calls turned away as bad requests: a
+// caller may say how long it waits as any number.
+func TestTimeoutsMayHaveFractions(t *testing.T) {
+	r := newRig(t, 1, 4, 0)
+	for text, status := range map[string]int{
+		"2500": http.StatusOK, "2500.0": http.StatusOK, "2500.5": http.StatusOK, "1e3": http.StatusOK,
+		"99999999999999999999": http.StatusOK, "": http.StatusOK,
+		"-5": http.StatusBadRequest, "soon": http.StatusBadRequest, "NaN": http.StatusBadRequest,
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			req, err := http.NewRequest(http.MethodGet, r.srv.URL+"/normal", nil)
+			is.NoErr(err)
+			req.Header.Set(HeaderCaller, "c")
+			req.Header.Set(HeaderTimeout, text)
+			res, err := r.client.Do(req)
+			is.NoErr(err)
+			res.Body.Close()
+			is.Equal(res.StatusCode, status)
+		})
+	}
+}
