IDs of calls 16 deep reach their upstreams as they were sent

Callers' calls deeper than seven levels would run under an ID that nobody sent, and their calls would no longer be known as made for them.

Cause: an ID over 128 bytes was replaced by a new one, while a nested call's ID is that of its parent, a dot, and one of its own: at 16 bytes each, 135 bytes at the eighth level. Change: the bound follows from the greatest depth.

Evidence: TestLongRequestIDsStay failed, the upstream saw another ID.

--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -123,7 +123,9 @@
 	return badRequest(errors.Wrap(err, "read body"))
 }
 
-const maxRequestID = 128
+// maxRequestID bounds a request ID, in bytes. That of a call at the greatest depth may hold
+// the IDs of all calls above it.
+const maxRequestID = maxDepth * 64
 
 // requestID returns the caller's request ID, or a new one.
 func (in *Ingress) requestID(r *http.Request) string {
--- a/internal/callpath/request_test.go
+++ b/internal/callpath/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -54,3 +55,21 @@
 		})
 	}
 }
+
+// TestLongRequestIDsStay guards against calls that reach upstreams under an ID that no caller
+// sent: a nested call's ID holds those of all calls above it.
+func TestLongRequestIDsStay(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 4, 0)
+	id := "0123456789abcdef" + strings.Repeat(".0123456789abcdef", maxDepth-1)
+	req, err := http.NewRequest(http.MethodGet, r.srv.URL+"/normal", nil)
+	is.NoErr(err)
+	req.Header.Set(HeaderCaller, "c")
+	req.Header.Set(HeaderRequest, id)
+	res, err := r.client.Do(req)
+	is.NoErr(err)
+	defer res.Body.Close()
+	seen, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.Equal(string(seen), id)
+}
