VMs and failure domains may be named as their installer likes

A deployment whose names have a capital, an underscore or more than 63 characters would have served no call at all: every daemon refused its settings and ended. Found by looking for the class elsewhere; the names on the deployments so far are lower-case, and nobody has reported it.

Cause: the rule for names in commands, which operators can be told of, was also that for names that the platform gives. Change: a rule of its own, which keeps out what would make names of upstreams ambiguous. Evidence: TestNamesOfVMsAreTheInstallersOwn failed.

--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -28,7 +28,7 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
 
-// ValidName reports whether an entity, VM or upstream may bear this name.
+// ValidName reports whether an entity or upstream may bear this name.
 func ValidName(name string) bool { return namePattern.MatchString(name) }
 
 // Validate checks everything of a command that does not depend on a state.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"os"
+	"regexp"
 	"strings"
 	"time"
 
@@ -12,7 +13,6 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/pkg/errors"
 
-	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/quota"
 	"github.com/comfreygate/comfreygate/internal/table"
 )
@@ -315,14 +315,20 @@
 	return nil
 }
 
+// placeName is what a VM, a failure domain or a region may be called. Names of upstreams
+// are a VM's name and a slash before their own.
+var placeName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,252}$`)
+
+const placeNameRule = "letters, digits, dots, dashes, colons and underscores, at most 253"
+
 func (s Settings) names() *problem {
 	switch {
-	case !config.ValidName(s.VM):
-		return &problem{"vm", "required: lower-case letters, digits, dots and dashes, at most 63"}
-	case !config.ValidName(s.FailureDomain):
-		return &problem{"failure_domain", "required: lower-case letters, digits, dots and dashes, at most 63"}
-	case s.Region != "" && !config.ValidName(s.Region):
-		return &problem{"region", "lower-case letters, digits, dots and dashes, at most 63"}
+	case !placeName.MatchString(s.VM):
+		return &problem{"vm", "required: " + placeNameRule}
+	case !placeName.MatchString(s.FailureDomain):
+		return &problem{"failure_domain", "required: " + placeNameRule}
+	case s.Region != "" && !placeName.MatchString(s.Region):
+		return &problem{"region", placeNameRule}
 	case s.Log.URL == "":
 		return &problem{"log.url", "required"}
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -58,3 +59,18 @@
 		})
 	}
 }
+
+// TestNamesOfVMsAreTheInstallersOwn guards against daemons that do not start, on a whole
+// deployment, for the form of its names.
+func TestNamesOfVMsAreTheInstallersOwn(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"sidecar-a-1", "Sidecar_A:1", "10.0.0.1", strings.Repeat("long-name-", 20)} {
+		s, err := Parse([]byte("vm: " + strconv.Quote(name) + "\nfailure_domain: Zone_A\nregion: EU.West\nlog: {url: u}\n"))
+		is.NoErr(err)
+		is.Equal(s.VM, name)
+	}
+	for _, name := range []string{"", "a/b", "a b", "a\tb", "-a", strings.Repeat("x", 300)} {
+		_, err := Parse([]byte("vm: " + strconv.Quote(name) + "\nfailure_domain: x\nlog: {url: u}\n"))
+		is.True(err != nil)
+	}
+}
