Histories in which configurations come as whole documents

Why no test saw the incident: the histories of package system, with cuts, restarts, pauses and outages, played commands on a log alone, never the documents that the operators' platform brings; and no test of documents had an odd one beside calls that have nothing to do with it.

TestDocumentsAreInForceUnderAnyHistory plays documents: readers end, lose power (alone, or all but one of a failure domain, with dials to them that fail late), freeze, are cut off from others or from the store; the store wakes nobody; versions come in storms and are odd. Each must be in force within its bound at every daemon that was left alone for 3 s.

--- a/internal/system/net_test.go
+++ b/internal/system/net_test.go
@@ -31,6 +31,8 @@
 	nodes  []*testNode
 	byAddr map[string]*testNode
 	pipes  []*pipe
+	// late are dials that will have failed, the first first.
+	late []failedDial
 	// ends finds a connection by either of its names.
 	ends   map[table.LinkID]*pipe
 	lastID table.LinkID
@@ -55,6 +57,10 @@
 	lag func() time.Duration
 	// starting is set in tests that watch what a start costs.
 	starting *startWatch
+	// params changes those of daemons that start from now on, if it is set.
+	params func(*table.Params)
+	// documents is the store of configurations that come whole, where they do.
+	documents *documentStore
 	// bytes counts what each daemon sent of suspects and roll-outs, if it is set.
 	bytes map[string]int
 }
@@ -69,6 +75,8 @@
 	lives      int
 	// highest is the highest version ever reported in force, over restarts.
 	highest uint64
+	// lost daemons have ended without a word, as by a loss of power.
+	lost bool
 	// paused daemons run no ticks; what comes for them waits.
 	paused bool
 	// refreshed is set when the call path was to get a new view.
@@ -92,6 +100,16 @@
 	msg  wire.Message
 }
 
+// failedDial tells a daemon that nothing answers at an address.
+type failedDial struct {
+	at   time.Time
+	to   *testNode
+	addr string
+}
+
+// deadDial is how long it takes to find that nothing answers at an address.
+const deadDial = 2 * time.Second
+
 func testParams() table.Params {
 	p := table.DefaultParams()
 	p.Window = 40 * time.Millisecond
@@ -129,10 +147,13 @@
 
 func (n *testNet) start(node *testNode) {
 	node.lives++
-	node.alive = true
+	node.alive, node.lost = true, false
 	node.inputs = nil
 	p := testParams()
 	p.Revoke = n.revoke
+	if n.params != nil {
+		n.params(&p)
+	}
 	p.Seeds = []string{n.nodes[0].id, n.nodes[len(n.nodes)-1].id}
 	self := wire.Member{
 		ID: node.id, Domain: node.domain, LinkMbps: node.linkMbps, Peer: node.id, Owner: node.id, Admin: node.id,
@@ -207,6 +228,10 @@
 		}
 	}
 	n.pipes = slices.DeleteFunc(n.pipes, func(p *pipe) bool { return p.closed })
+	for len(n.late) > 0 && !n.late[0].at.After(n.now) {
+		n.late[0].to.inputs = append(n.late[0].to.inputs, DialFailed{Addr: n.late[0].addr, Reason: "test"})
+		n.late = n.late[1:]
+	}
 }
 
 func (n *testNet) tick(node *testNode) {
@@ -229,7 +254,10 @@
 	for _, d := range out.Dials {
 		n.dial(node, d)
 	}
-	if n.log != nil {
+	switch {
+	case n.documents != nil:
+		n.documents.serve(n, node, out)
+	case n.log != nil:
 		n.useLog(node, out)
 	}
 	n.useQuarantine(node, out)
@@ -255,6 +283,10 @@
 
 func (n *testNet) dial(node *testNode, d Dial) {
 	target := n.node(d.Addr)
+	if target.lost {
+		n.late = append(n.late, failedDial{n.now.Add(deadDial), node, d.Addr})
+		return
+	}
 	if !target.alive || n.cut(node, target) {
 		node.inputs = append(node.inputs, DialFailed{Addr: d.Addr, Reason: "test"})
 		return
