A call may name its host in any case, and with the port it goes to

Cause: hosts were compared byte by byte. By HTTP they are the same in any case, and a client names the port that it calls if that is no default one. Change: both are compared in lower case; a port counts only if routes name the host with it, so that no call runs where only another port's route leads.

--- a/internal/view/routes.go
+++ b/internal/view/routes.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -55,7 +56,7 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// place is where a route applies.
+// place is where a route applies. Hosts are in lower case.
 type place struct{ host, path string }
 
 // Routes are the routes of one configuration. They are immutable.
@@ -64,6 +65,8 @@
 	state  *config.State
 	byName map[string]*Route
 	index  map[place]*Route
+	// hosts are those that routes name.
+	hosts map[string]bool
 	// keyed is set if there are workspaces. Without any, calls need no key.
 	keyed bool
 	// keys holds them by config.KeyHash of each of their keys.
@@ -76,7 +79,7 @@
 
 // NewRoutes returns these routes.
 func NewRoutes(list ...*Route) *Routes {
-	t := &Routes{byName: make(map[string]*Route, len(list)), index: make(map[place]*Route, len(list))}
+	t := &Routes{byName: make(map[string]*Route, len(list)), index: make(map[place]*Route, len(list)), hosts: map[string]bool{}}
 	for _, r := range list {
 		t.add(r)
 	}
@@ -86,7 +89,8 @@
 func (t *Routes) add(r *Route) {
 	t.byName[r.Name] = r
 	// Of two routes at one place the first by name counts, on every daemon.
-	at := place{host: r.Host, path: r.Path}
+	at := place{host: strings.ToLower(r.Host), path: r.Path}
+	t.hosts[at.host] = true
 	if other := t.index[at]; other == nil || r.Name < other.Name {
 		t.index[at] = r
 	}
@@ -105,6 +109,7 @@
 	c := state.Content
 	next := &Routes{
 		state: state, byName: make(map[string]*Route, len(c.Routes)), index: make(map[place]*Route, len(c.Routes)),
+		hosts: map[string]bool{},
 	}
 	for name, r := range c.Routes {
 		old := known[name]
@@ -182,13 +187,26 @@
 	if v.Routes == nil {
 		return nil, false
 	}
-	if r := v.Routes.longest(host, path); r != nil {
+	if r := v.Routes.longest(v.Routes.hostOf(host), path); r != nil {
 		return r, true
 	}
 	r := v.Routes.longest("", path)
 	return r, r != nil
 }
 
+// hostOf returns the host that a call names, as routes do: in lower case, and without a port
+// unless routes name it with that port.
+func (t *Routes) hostOf(host string) string {
+	host = strings.ToLower(host)
+	if t.hosts[host] {
+		return host
+	}
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && strings.IndexByte(host[i:], ']') < 0 {
+		return host[:i]
+	}
+	return host
+}
+
 func (t *Routes) longest(host, path string) *Route {
 	if r := t.index[place{host, path}]; r != nil {
 		return r
