One follower of keyed topics: the configuration and the quarantine are read alike

The operators' configuration and the records of quarantined requests were followed by two copies of one logic: read on, begin anew with the newest of each key where the log was replaced or records went unread.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -138,7 +138,7 @@
 	params := s.Params()
 	params.Documents = opts.Source != nil
 	a.suspects = suspect.NewTable(time.Now)
-	a.quarantine = quarantineReader{log: opts.Log, logger: opts.Logger}
+	a.quarantine = quarantineReader{topic: store.NewFollower(opts.Log, store.QuarantineTopic, 0), logger: opts.Logger}
 	a.world = table.New(a.self, params, a.suspects, now, seed)
 	a.transport = peer.New(a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
 	a.config = newConfigMetrics(a.metrics)
--- a/internal/agent/quarantine.go
+++ b/internal/agent/quarantine.go
@@ -26,39 +26,18 @@
 // quarantineReader reads the store's records of quarantined requests. Only one goroutine
 // at a time may use it.
 type quarantineReader struct {
-	log    store.Log
+	topic  *store.Follower
 	logger zerolog.Logger
-	// from is the offset to read on from, once the newest records were read.
-	from    uint64
-	started bool
 }
 
 // next returns what the store holds: the first time all, then what is added, as soon as
 // it is or after quarantineWait.
 func (q *quarantineReader) next(ctx context.Context) system.QuarantineRead {
-	if !q.started {
-		return q.newest(ctx)
-	}
-	b, err := q.log.Read(ctx, store.Query{Topic: store.QuarantineTopic, From: q.from, Wait: quarantineWait})
-	if err != nil {
-		return system.QuarantineRead{Err: err}
-	}
-	if b.End < q.from || b.First > q.from {
-		return q.newest(ctx) // another log is in its place, or records have expired unread
-	}
-	for _, e := range b.Entries {
-		q.from = e.Offset + 1
-	}
-	return system.QuarantineRead{Records: q.decode(b.Entries)}
-}
-
-func (q *quarantineReader) newest(ctx context.Context) system.QuarantineRead {
-	n, err := q.log.Newest(ctx, store.QuarantineTopic)
+	entries, whole, err := q.topic.Next(ctx, quarantineWait)
 	if err != nil {
 		return system.QuarantineRead{Err: err}
 	}
-	q.from, q.started = n.End, true
-	return system.QuarantineRead{Records: q.decode(n.Entries), Whole: true}
+	return system.QuarantineRead{Records: q.decode(entries), Whole: whole}
 }
 
 // decode returns the records of entries. One without a value was dropped.
