Checks of settings in a file of their own; what lets a call in has a name

No behaviour changed, but that the line of a call refused while its daemon stops names the service too.

--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -208,22 +208,10 @@
 		in.direct.Add(1)
 		defer in.direct.Add(-1)
 	}
-	if in.closed.Load() && !c.attempt.Nested {
-		in.refuse(w, &c, outcome.Refuse(outcome.ReasonDraining, restartTime))
-		return
-	}
 	c.service = v.Services[c.route.Next()]
 	ctx, cancel := in.callContext(r.Context(), &c)
 	defer cancel()
-	leave, refusal := in.cfg.Limits.Admit(ctx, v, c.attempt.Workspace)
-	if !leave {
-		in.refuse(w, &c, refusal)
-		return
-	}
-	res := in.run(ctx, &c)
-	if res.Outcome == outcome.NotRun {
-		in.cfg.Limits.GiveBack(v, c.attempt.Workspace)
-	}
+	res := in.admitted(ctx, v, &c)
 	if res.Body != nil {
 		defer res.Body.Close()
 	}
@@ -235,6 +223,22 @@
 	writeAnswer(w, res)
 }
 
+// admitted runs a call if this daemon still takes calls and its workspace's limit lets it in.
+func (in *Ingress) admitted(ctx context.Context, v *view.View, c *call) outcome.Result {
+	if in.closed.Load() && !c.attempt.Nested {
+		return outcome.Refuse(outcome.ReasonDraining, restartTime)
+	}
+	leave, refusal := in.cfg.Limits.Admit(ctx, v, c.attempt.Workspace)
+	if !leave {
+		return refusal
+	}
+	res := in.run(ctx, c)
+	if res.Outcome == outcome.NotRun {
+		in.cfg.Limits.GiveBack(v, c.attempt.Workspace)
+	}
+	return res
+}
+
 // restartTime is when a caller of a stopping daemon may come back: what a
 // process took to end and to be ready again, as a rule, in rolling restarts.
 const restartTime = 2 * time.Second
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,178 @@
+package settings
+
+import (
+	"net"
+	"regexp"
+	"time"
+)
+
+// problem is a value that cannot be.
+type problem struct {
+	key    string
+	reason string
+}
+
+func (s Settings) problem() *problem {
+	for _, check := range []func() *problem{s.names, s.addresses, s.durations, s.numbers} {
+		if p := check(); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// placeName is what a VM, a failure domain or a region may be called. Names of upstreams
+// are a VM's name and a slash before their own.
+var placeName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,252}$`)
+
+const placeNameRule = "letters, digits, dots, dashes, colons and underscores, at most 253"
+
+func (s Settings) names() *problem {
+	switch {
+	case !placeName.MatchString(s.VM):
+		return &problem{"vm", "required: " + placeNameRule}
+	case !placeName.MatchString(s.FailureDomain):
+		return &problem{"failure_domain", "required: " + placeNameRule}
+	case s.Region != "" && !placeName.MatchString(s.Region):
+		return &problem{"region", placeNameRule}
+	case s.Log.URL == "":
+		return &problem{"log.url", "required"}
+	}
+	switch s.Logging {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return &problem{"logging", "must be debug, info, warn or error"}
+}
+
+type namedAddress struct {
+	key  string
+	addr string
+}
+
+func (s Settings) addresses() *problem {
+	list := []namedAddress{
+		{"listen.callers", s.Listen.Callers}, {"listen.admin", s.Listen.Admin},
+		{"listen.peers", s.Listen.Peers}, {"listen.owner", s.Listen.Owner}, {"listen.local", s.Listen.Local},
+	}
+	for _, a := range []namedAddress{
+		{"listen.advertise_peers", s.Listen.AdvertisePeers}, {"listen.advertise_owner", s.Listen.AdvertiseOwner},
+	} {
+		if a.addr != "" {
+			list = append(list, a)
+		}
+	}
+	if s.Platform.Enabled() {
+		list = append(list,
+			namedAddress{"platform.upstream", s.Platform.Upstream}, namedAddress{"platform.ready", s.Platform.Ready},
+			namedAddress{"platform.heartbeats", s.Platform.Heartbeats}, namedAddress{"platform.metrics", s.Platform.Metrics})
+	}
+	if src := s.Listen.Source; src != "" && net.ParseIP(src) == nil {
+		return &problem{"listen.source", "must be an IP address, is " + src}
+	}
+	for _, a := range s.Control.Peers {
+		list = append(list, namedAddress{"control.peers", a})
+	}
+	for _, a := range list {
+		host, _, err := net.SplitHostPort(a.addr)
+		if err != nil || net.ParseIP(host) == nil {
+			return &problem{a.key, "must be IP:port, is " + a.addr}
+		}
+	}
+	if !Loopback(s.Listen.Local) {
+		return &problem{"listen.local", "must be a loopback address"}
+	}
+	return nil
+}
+
+// Loopback reports whether an IP:port is on the loopback interface.
+func Loopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	ip := net.ParseIP(host)
+	return err == nil && ip != nil && ip.IsLoopback()
+}
+
+const (
+	// minStop is the least time in which a stop can send callers elsewhere, let runs
+	// end and give last answers.
+	minStop = time.Second
+	// minInForce is the least time in which a change can be read and passed on to
+	// every daemon: two reads of a store that has failed to wake its readers.
+	minInForce = time.Second
+	// minRevoke is the least time in which the freshness of a configuration can be passed
+	// on over a tree of three levels, a heartbeat each.
+	minRevoke = 2 * time.Second
+)
+
+type namedDuration struct {
+	key string
+	d   Duration
+	min time.Duration
+}
+
+func (s Settings) durations() *problem {
+	c, l := s.Control, s.Calls
+	for _, n := range []namedDuration{
+		{"log.timeout", s.Log.Timeout, time.Millisecond},
+		{"log.retention", s.Log.Retention, 10 * time.Second},
+		{"bounds.stop", s.Bounds.Stop, minStop},
+		{"bounds.in_force", s.Bounds.InForce, minInForce},
+		{"bounds.revoke", s.Bounds.Revoke, 0},
+		{"bounds.limit_window", s.Bounds.LimitWindow, time.Second},
+		{"control.window", c.Window, time.Millisecond},
+		{"control.heartbeat", c.Heartbeat, 50 * time.Millisecond},
+		{"control.silent_after", c.SilentAfter, 2*time.Duration(c.Heartbeat) + 1},
+		{"control.renew", c.Renew, 500 * time.Millisecond},
+		{"control.lapse", c.Lapse, 2*time.Duration(c.Renew) + 1},
+		{"control.upstream_lapse", c.UpstreamLapse, 100 * time.Millisecond},
+		{"control.grace", c.Grace, 100 * time.Millisecond},
+		{"control.probe", c.Probe, time.Second},
+		{"calls.connect_timeout", l.ConnectTimeout, time.Millisecond},
+		{"calls.upstream_idle", l.UpstreamIdle, time.Millisecond},
+		{"calls.inquire_after", l.InquireAfter, 10 * time.Millisecond},
+		{"calls.drain", l.Drain, 0},
+	} {
+		if time.Duration(n.d) < n.min {
+			return &problem{n.key, "must be at least " + n.min.String() + ", is " + time.Duration(n.d).String()}
+		}
+	}
+	return nil
+}
+
+func (s Settings) numbers() *problem {
+	switch {
+	case s.Bounds.LimitPart < 0 || s.Bounds.LimitPart > 1:
+		return &problem{"bounds.limit_part", "must be between 0 and 1"}
+	case s.Bounds.LimitCalls < 0 || s.Bounds.LimitCalls > 1e6:
+		return &problem{"bounds.limit_calls", "must be between 0 and 1000000"}
+	case s.Bounds.Revoke != 0 && time.Duration(s.Bounds.Revoke) < minRevoke:
+		return &problem{"bounds.revoke", "must be 0 or at least " + minRevoke.String()}
+	case s.Bounds.Exposure <= 0 || s.Bounds.Exposure > 1:
+		return &problem{"bounds.exposure", "must be above 0 and at most 1"}
+	case s.Control.Fanout < 2 || s.Control.Fanout > 64:
+		return &problem{"control.fanout", "must be between 2 and 64"}
+	case s.Control.Roots < 1 || s.Control.Roots > 8:
+		return &problem{"control.roots", "must be between 1 and 8"}
+	case s.Control.MaxLinks < 4*s.Control.Fanout:
+		return &problem{"control.max_links", "must be at least four times control.fanout"}
+	case s.Control.SnapshotsPerSecond < 1:
+		return &problem{"control.snapshots_per_second", "must be at least 1"}
+	case s.Calls.MaxBody < 0 || s.Calls.MaxHeader < 1024:
+		return &problem{"calls.max_header", "calls.max_body must be at least 0 and calls.max_header at least 1024"}
+	case s.Calls.QueueFactor < 0 || s.Calls.QueueFactor > 100:
+		return &problem{"calls.queue_factor", "must be between 0 and 100"}
+	case s.Calls.RetryRatio < 0 || s.Calls.RetryRatio > 1:
+		return &problem{"calls.retry_ratio", "must be between 0 and 1"}
+	case s.Calls.RetryBurst < 0 || s.Calls.RetryBurst > 10_000:
+		return &problem{"calls.retry_burst", "must be between 0 and 10000"}
+	case s.Calls.CrossDomainCost < 0 || s.Calls.CrossDomainCost > 1e6:
+		return &problem{"calls.cross_domain_cost", "must be between 0 and 1000000"}
+	case s.Calls.LinkMbps < 0 || s.Calls.LinkMbps > 1e6:
+		return &problem{"calls.link_mbps", "must be between 0 and 1000000"}
+	case s.GCPercent < 10 || s.GCPercent > 10_000:
+		return &problem{"gc_percent", "must be between 10 and 10000"}
+	case s.Events < 16:
+		return &problem{"events", "must be at least 16"}
+	}
+	return nil
+}
