Commands are judged as before: by the same rules and for the same reasons

Change: what a command may leave behind and what a content may hold are two checks, the first word for word that of before.

Also: the agent's field for what it measures of its configuration is called so.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,16 +61,16 @@
 
 // Agent is a running daemon.
 type Agent struct {
-	settings settings.Settings
-	log      store.Log
-	logger   zerolog.Logger
-	metrics  metrics.Registry
-	config   *configMetrics
-	source   DocumentSource
-	teller   Teller
-	self     wire.Member
-	clock    *event.Clock
-	events   *event.Ring
+	settings      settings.Settings
+	log           store.Log
+	logger        zerolog.Logger
+	metrics       metrics.Registry
+	configMetrics *configMetrics
+	source        DocumentSource
+	teller        Teller
+	self          wire.Member
+	clock         *event.Clock
+	events        *event.Ring
 
 	world *table.World
 	// suspects is shared by the tables and the call path.
@@ -141,7 +141,7 @@
 	a.quarantine = quarantineReader{topic: store.NewFollower(opts.Log, store.QuarantineTopic, 0), logger: opts.Logger}
 	a.world = table.New(a.self, params, a.suspects, now, seed)
 	a.transport = peer.New(a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
-	a.config = newConfigMetrics(a.metrics)
+	a.configMetrics = newConfigMetrics(a.metrics)
 	m := callpath.NewMetrics(a.metrics)
 	limiter := limits.New(limits.Config{
 		Domain: s.FailureDomain, Tolerance: s.Bounds.Tolerance(), Metrics: a.metrics, Logger: opts.Logger,
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -137,9 +137,9 @@
 	if a.view != nil && a.view.Version >= a.world.Config.State.Version {
 		a.ingress.Vouch(out.Stamp)
 	}
-	a.config.update(a.world)
+	a.configMetrics.update(a.world)
 	for _, e := range out.Events {
-		a.config.count(e)
+		a.configMetrics.count(e)
 		a.note(e)
 	}
 	for _, s := range out.Sends {
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -165,7 +166,7 @@
 	if len(next.Workspaces) > MaxWorkspaces {
 		return c, rejectf("there may be %d workspaces, these are %d", MaxWorkspaces, len(next.Workspaces))
 	}
-	if err := next.Consistent(); err != nil {
+	if err := cmp.Or(next.workspacesConsistent(), next.routesConsistent(Content.routeCommandable)); err != nil {
 		return c, rejectf("%v", err)
 	}
 	return next, nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -241,3 +241,27 @@
 		})
 	}
 }
+
+// TestCommandsAreJudgedByTheSameRules guards against daemons of two releases that judge one
+// command differently, or for another reason: both are part of what they compare.
+func TestCommandsAreJudgedByTheSameRules(t *testing.T) {
+	policy := Change{Verb: Put, Ref: Ref{KindPolicy, "p"}, Policy: &Policy{Name: "p", Urgency: Normal, Timeout: time.Second}}
+	service := Change{Verb: Put, Ref: Ref{KindService, "a"}, Service: &Service{Name: "a"}}
+	for want, r := range map[string]Route{
+		"route r gives service a the weight 0":            {Shares: []Share{{"a", 0}}},
+		"route r gives service a the weight -1":           {Shares: []Share{{"a", 1}, {"a", -1}}},
+		"route r names service , which does not exist":    {},
+		"route r names service zz, which does not exist":  {Service: "zz"},
+		"route r names service zzz, which does not exist": {Shares: []Share{{"a", 1}, {"zzz", 0}}},
+	} {
+		t.Run(want, func(t *testing.T) {
+			is := is.New(t)
+			r.Name, r.Path, r.Policy = "r", "/r", "p"
+			route := Change{Verb: Put, Ref: Ref{KindRoute, "r"}, Route: &r}
+			s, err := Apply(Empty(), 0, Record{Command: &Command{ID: "c", Changes: []Change{policy, service, route}}})
+			is.NoErr(err)
+			is.Equal(s.Outcomes[0].Status, Rejected)
+			is.Equal(s.Outcomes[0].Reason, want)
+		})
+	}
+}
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -178,7 +178,7 @@
 		}
 	}
 	if slices.ContainsFunc(d.Removed, Ref.named) {
-		return c.routesConsistent() // any route may have named what is gone
+		return c.routesConsistent(Content.routeConsistent) // any route may have named what is gone
 	}
 	for _, name := range sortedKeys(d.Routes) {
 		if err := c.routeConsistent(d.Routes[name]); err != nil {
--- a/internal/config/entity.go
+++ b/internal/config/entity.go
@@ -117,7 +117,7 @@
 type Share struct {
 	Service string `json:"service"`
 	// Weight is the part, in relation to the sum of the route's weights. Zero: no calls.
-	Weight float64 `json:"weight"`
+	Weight int `json:"weight"`
 }
 
 // Targets returns the services of the route with their weights.
--- a/internal/config/normalize.go
+++ b/internal/config/normalize.go
@@ -27,8 +27,8 @@
 	kindLimits   Kind = "limits"
 )
 
-// maxWeight bounds a share's weight, so that sums stay exact enough.
-const maxWeight = 1e9
+// MaxWeight bounds a share's weight, so that sums of them can be counted.
+const MaxWeight = 1_000_000_000
 
 // Normalize makes the content one that can be put in force, whatever the document says:
 // what cannot be carried out as it is written is carried out as nearly as can be, entity by
@@ -150,7 +150,7 @@
 			d.AddFlaw(ref.Kind, ref.Name, "has a share without a service", "left out")
 			continue
 		}
-		fix(d, ref, "weight of "+s.Service, &s.Weight, min(max(0, s.Weight), maxWeight))
+		fix(d, ref, "weight of "+s.Service, &s.Weight, min(max(0, s.Weight), MaxWeight))
 		list = append(list, s)
 	}
 	return list
--- a/internal/config/normalize_test.go
+++ b/internal/config/normalize_test.go
@@ -51,9 +51,9 @@
 			"route odd: weight of b -3; taken as 0",
 			func(c Content) bool { return slices.Equal(c.Routes["odd"].Shares, []Share{{"a", 4}, {"b", 0}}) },
 		}, {
-			"huge weight", route(func(r *Route) { r.Shares = []Share{{"a", math.MaxFloat64}, {"b", 1}} }),
-			"route odd: weight of a 1.7976931348623157e+308; taken as 1e+09",
-			func(c Content) bool { return c.Routes["odd"].Shares[0].Weight == maxWeight },
+			"huge weight", route(func(r *Route) { r.Shares = []Share{{"a", math.MaxInt}, {"b", 1}} }),
+			"route odd: weight of a 9223372036854775807; taken as 1000000000",
+			func(c Content) bool { return c.Routes["odd"].Shares[0].Weight == MaxWeight },
 		}, {
 			"no share with a weight", route(func(r *Route) { r.Shares = []Share{{"a", 0}, {"b", 0}} }),
 			"route odd: gives no service a part of its calls; they are refused as not run",
@@ -145,7 +145,7 @@
 				}
 				r := Route{Name: names.Draw(t, "route"), Host: "h", Path: fmt.Sprintf("/odd%d/", i), Policy: policy, Service: names.Draw(t, "service")}
 				for range rapid.IntRange(0, 3).Draw(t, "shares") {
-					r.Shares = append(r.Shares, Share{names.Draw(t, "share"), drawOdd(t, "weight")})
+					r.Shares = append(r.Shares, Share{names.Draw(t, "share"), int(drawOdd(t, "weight"))})
 				}
 				d.AddRoute(r)
 			}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -154,38 +154,74 @@
 	if err := c.workspacesConsistent(); err != nil {
 		return err
 	}
-	return c.routesConsistent()
+	return c.routesConsistent(Content.routeConsistent)
 }
 
-func (c Content) routesConsistent() error {
+// routesConsistent reports the first route by name that does not pass the check, so that all
+// daemons give the same reason.
+func (c Content) routesConsistent(check func(Content, Route) error) error {
 	for _, r := range c.Routes {
-		if c.routeConsistent(r) != nil {
-			return c.firstInconsistent()
+		if check(c, r) != nil {
+			return c.firstInconsistent(check)
 		}
 	}
 	return nil
 }
 
-// firstInconsistent names the first such route by name, so that all daemons
-// give the same reason.
-func (c Content) firstInconsistent() error {
+func (c Content) firstInconsistent(check func(Content, Route) error) error {
 	for _, name := range sortedKeys(c.Routes) {
-		if err := c.routeConsistent(c.Routes[name]); err != nil {
+		if err := check(c, c.Routes[name]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// routeConsistent reports the first thing that a route names and the content lacks.
 func (c Content) routeConsistent(r Route) error {
 	for _, t := range r.Targets() {
-		if _, ok := c.Services[t.Service]; !ok {
-			return errors.Errorf("route %s names service %s, which does not exist", r.Name, t.Service)
+		if err := c.serviceExists(r, t.Service); err != nil {
+			return err
 		}
 		if t.Weight < 0 {
-			return errors.Errorf("route %s gives service %s the weight %v", r.Name, t.Service, t.Weight)
+			return weightError(r, t)
+		}
+	}
+	return c.namesExist(r)
+}
+
+// routeCommandable demands more of a route that a command may have left behind: a service,
+// and a weight for each share. Its errors are part of the rules.
+func (c Content) routeCommandable(r Route) error {
+	if len(r.Shares) == 0 {
+		if err := c.serviceExists(r, r.Service); err != nil {
+			return err
+		}
+	}
+	for _, t := range r.Shares {
+		if err := c.serviceExists(r, t.Service); err != nil {
+			return err
+		}
+		if t.Weight < 1 {
+			return weightError(r, t)
 		}
 	}
+	return c.namesExist(r)
+}
+
+func weightError(r Route, t Share) error {
+	return errors.Errorf("route %s gives service %s the weight %d", r.Name, t.Service, t.Weight)
+}
+
+func (c Content) serviceExists(r Route, service string) error {
+	if _, ok := c.Services[service]; !ok {
+		return errors.Errorf("route %s names service %s, which does not exist", r.Name, service)
+	}
+	return nil
+}
+
+// namesExist reports what else a route names and the content lacks.
+func (c Content) namesExist(r Route) error {
 	if _, ok := c.Policies[r.Policy]; !ok {
 		return errors.Errorf("route %s names policy %s, which does not exist", r.Name, r.Policy)
 	}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -143,8 +143,6 @@
 		return errors.Errorf("path %q must be clean and not end with /", r.Path)
 	case len(r.Callers) > MaxCallers:
 		return errors.Errorf("a route may name %d callers, this one names %d", MaxCallers, len(r.Callers))
-	case !r.servable():
-		return errors.New("a route must give some service a part of its calls")
 	}
 	return nil
 }
--- a/internal/view/routes.go
+++ b/internal/view/routes.go
@@ -147,7 +147,7 @@
 // targets returns the services that get calls; a share without weight is none.
 func targets(r config.Route) []Target {
 	var list []Target
-	var total, sum float64
+	total, sum := 0, 0
 	for _, t := range r.Targets() {
 		total += t.Weight
 	}
@@ -156,7 +156,7 @@
 			continue
 		}
 		sum += t.Weight
-		list = append(list, Target{Service: t.Service, Until: sum / total})
+		list = append(list, Target{Service: t.Service, Until: float64(sum) / float64(total)})
 	}
 	return list
 }
