Histories of documents play the platform's own times, and wider trees; their net in two files

The histories had the short times of the other tests, at which a lost daemon is forgotten after 4 s; on the platform that takes 180 s, and its place in the order of readers stays.

--- /dev/null
+++ b/internal/system/converge_test.go
@@ -0,0 +1,73 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/devlog"
+	"github.com/comfreygate/comfreygate/internal/lang"
+	"github.com/comfreygate/comfreygate/platform/store"
+)
+
+// publish appends a command to the log, as a daemon would.
+func (n *testNet) publish(id, text string) {
+	st, err := lang.Parse(text)
+	if err != nil {
+		n.fatalf("%s: %v", text, err)
+	}
+	data, err := config.Record{Command: &config.Command{ID: id, Changes: st.Changes, IfVersion: st.IfVersion}}.Encode()
+	if err != nil {
+		n.fatalf("%v", err)
+	}
+	_, _ = n.log.Append(context.Background(), store.ConfigTopic, data)
+}
+
+// converge heals everything and demands that all daemons hold the newest
+// state and know each other within the time.
+func (n *testNet) converge(within time.Duration) {
+	n.apart = map[string]bool{}
+	n.noLog = map[string]bool{}
+	n.log.SetFaults(devlog.Faults{})
+	for _, node := range n.nodes {
+		if !node.alive {
+			n.start(node)
+		}
+	}
+	problem := ""
+	for end := n.now.Add(within); n.now.Before(end); {
+		n.run(100 * time.Millisecond)
+		if problem = n.unconverged(); problem == "" {
+			return
+		}
+	}
+	n.fatalf("not converged: %s", problem)
+}
+
+func (n *testNet) unconverged() string {
+	batch, err := n.log.Read(context.Background(), store.Query{Topic: store.ConfigTopic})
+	if err != nil {
+		return err.Error()
+	}
+	for _, node := range n.nodes {
+		w := node.w
+		switch {
+		case w.Config.State.Position != batch.End:
+			return fmt.Sprintf("%s is at %d of %d, alarms %v", node.id, w.Config.State.Position, batch.End, w.Alarms)
+		case !w.Ready || w.Self.Beat.Applied != w.Config.State.Version:
+			return node.id + " is not ready"
+		}
+		for _, other := range n.nodes {
+			if row := w.Members[other.id]; other != node && (row == nil || row.Lapsed) {
+				return node.id + " does not know " + other.id
+			}
+		}
+	}
+	return ""
+}
+
+func tNet(t *testing.T, domains, perDomain int) *testNet {
+	return newTestNet(func(f string, args ...any) { t.Helper(); t.Fatalf(f, args...) }, domains, perDomain)
+}
--- a/internal/system/documents_test.go
+++ b/internal/system/documents_test.go
@@ -88,7 +88,9 @@
 	d := &documentNet{testNet: newTestNet(fatalf, domains, perDomain), disturbed: map[*testNode]time.Time{}}
 	d.documents = &documentStore{reads: map[*testNode]*documentRead{}}
 	d.params = func(p *table.Params) {
-		p.Documents = true
+		inForce, seeds := p.InForce, p.Seeds
+		*p = table.DefaultParams()
+		p.Documents, p.InForce, p.Seeds = true, inForce, seeds
 		p.Window, p.Heartbeat, p.SilentAfter, p.Grace = 50*time.Millisecond, 500*time.Millisecond, 1500*time.Millisecond, 2*time.Second
 	}
 	for _, node := range d.nodes {
@@ -185,7 +187,7 @@
 // off, the store is away or wakes nobody, documents come in storms and are odd.
 func TestDocumentsAreInForceUnderAnyHistory(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		d := newDocumentNet(rt.Fatalf, 3, rapid.IntRange(2, 5).Draw(rt, "daemons"))
+		d := newDocumentNet(rt.Fatalf, 3, rapid.IntRange(2, 8).Draw(rt, "daemons"))
 		d.accept(false)
 		d.pass(6 * time.Second)
 		for range rapid.IntRange(3, 25).Draw(rt, "ops") {
--- a/internal/system/net_test.go
+++ b/internal/system/net_test.go
@@ -5,12 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"testing"
 	"time"
 
-	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/devlog"
-	"github.com/comfreygate/comfreygate/internal/lang"
 	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
@@ -350,89 +347,3 @@
 		}
 	}
 }
-
-// publish appends a command to the log, as a daemon would.
-func (n *testNet) publish(id, text string) {
-	st, err := lang.Parse(text)
-	if err != nil {
-		n.fatalf("%s: %v", text, err)
-	}
-	data, err := config.Record{Command: &config.Command{ID: id, Changes: st.Changes, IfVersion: st.IfVersion}}.Encode()
-	if err != nil {
-		n.fatalf("%v", err)
-	}
-	_, _ = n.log.Append(context.Background(), store.ConfigTopic, data)
-}
-
-// converge heals everything and demands that all daemons hold the newest
-// state and know each other within the time.
-func (n *testNet) converge(within time.Duration) {
-	n.apart = map[string]bool{}
-	n.noLog = map[string]bool{}
-	n.log.SetFaults(devlog.Faults{})
-	for _, node := range n.nodes {
-		if !node.alive {
-			n.start(node)
-		}
-	}
-	problem := ""
-	for end := n.now.Add(within); n.now.Before(end); {
-		n.run(100 * time.Millisecond)
-		if problem = n.unconverged(); problem == "" {
-			return
-		}
-	}
-	n.fatalf("not converged: %s", problem)
-}
-
-func (n *testNet) unconverged() string {
-	batch, err := n.log.Read(context.Background(), store.Query{Topic: store.ConfigTopic})
-	if err != nil {
-		return err.Error()
-	}
-	for _, node := range n.nodes {
-		w := node.w
-		switch {
-		case w.Config.State.Position != batch.End:
-			return fmt.Sprintf("%s is at %d of %d, alarms %v", node.id, w.Config.State.Position, batch.End, w.Alarms)
-		case !w.Ready || w.Self.Beat.Applied != w.Config.State.Version:
-			return node.id + " is not ready"
-		}
-		for _, other := range n.nodes {
-			if row := w.Members[other.id]; other != node && (row == nil || row.Lapsed) {
-				return node.id + " does not know " + other.id
-			}
-		}
-	}
-	return ""
-}
-
-func tNet(t *testing.T, domains, perDomain int) *testNet {
-	return newTestNet(func(f string, args ...any) { t.Helper(); t.Fatalf(f, args...) }, domains, perDomain)
-}
-
-// TestIslandsAfterAColdStartJoin starts two pairs of daemons that know only
-// each other, and probes that are an hour away. Addresses that the log gives
-// must join them: a service whose only upstream is on the other island would
-// be refused until then.
-func TestIslandsAfterAColdStartJoin(t *testing.T) {
-	n := tNet(t, 2, 2)
-	for i, node := range n.nodes {
-		other := n.nodes[i^1]
-		node.w.Params.Probe = time.Hour
-		node.w.NextProbe = n.now.Add(time.Hour)
-		node.w.Seeds = []string{other.id}
-		node.w.NextSeed = n.now
-	}
-	n.run(2 * time.Second)
-	if len(n.nodes[0].w.Members) != 1 {
-		t.Fatal("the islands have met already")
-	}
-	n.nodes[3].inputs = append(n.nodes[3].inputs, SeedsFound{Addrs: []string{"d0-0", "d0-1", "d1-0", "d1-1"}})
-	n.run(4 * time.Second)
-	for _, node := range n.nodes {
-		if len(node.w.Members) != 3 {
-			t.Errorf("%s knows %d others, want 3", node.id, len(node.w.Members))
-		}
-	}
-}
--- a/internal/system/seek_test.go
+++ b/internal/system/seek_test.go
@@ -142,3 +142,29 @@
 		})
 	}
 }
+
+// TestIslandsAfterAColdStartJoin starts two pairs of daemons that know only
+// each other, and probes that are an hour away. Addresses that the log gives
+// must join them: a service whose only upstream is on the other island would
+// be refused until then.
+func TestIslandsAfterAColdStartJoin(t *testing.T) {
+	n := tNet(t, 2, 2)
+	for i, node := range n.nodes {
+		other := n.nodes[i^1]
+		node.w.Params.Probe = time.Hour
+		node.w.NextProbe = n.now.Add(time.Hour)
+		node.w.Seeds = []string{other.id}
+		node.w.NextSeed = n.now
+	}
+	n.run(2 * time.Second)
+	if len(n.nodes[0].w.Members) != 1 {
+		t.Fatal("the islands have met already")
+	}
+	n.nodes[3].inputs = append(n.nodes[3].inputs, SeedsFound{Addrs: []string{"d0-0", "d0-1", "d1-0", "d1-1"}})
+	n.run(4 * time.Second)
+	for _, node := range n.nodes {
+		if len(node.w.Members) != 3 {
+			t.Errorf("%s knows %d others, want 3", node.id, len(node.w.Members))
+		}
+	}
+}
