A workspace without a name leaves keys needed

Change: it stays, under a name of its own and without keys.

Evidence: the case of TestFlawsAreCarriedOutAsNearlyAsCanBe, and TestAnyDocumentCanBePutInForce with the demand that workspaces stay, failed at once.

--- a/internal/config/normalize.go
+++ b/internal/config/normalize.go
@@ -30,6 +30,9 @@
 // MaxWeight bounds a share's weight, so that sums of them can be counted.
 const MaxWeight = 1_000_000_000
 
+// nameless is what a workspace without a name is called.
+const nameless = "(nameless)"
+
 // Normalize makes the content one that can be put in force, whatever the document says:
 // what cannot be carried out as it is written is carried out as nearly as can be, entity by
 // entity, and noted as a flaw. Whoever accepted the document cannot be told of a refusal any
@@ -161,8 +164,10 @@
 func (d *Document) normalizeWorkspace(name string, holders map[string]string) {
 	ws := d.Content.Workspaces[name]
 	if name == "" {
-		d.AddFlaw(KindWorkspace, name, "has no name", "left out")
+		// It stays, under another name: where there is no workspace, calls need no key.
+		d.AddFlaw(KindWorkspace, name, "has no name", "its keys let nobody in")
 		delete(d.Content.Workspaces, name)
+		d.Content.Workspaces[nameless] = Workspace{Name: nameless}
 		return
 	}
 	ref := Ref{KindWorkspace, name}
--- a/internal/config/normalize_test.go
+++ b/internal/config/normalize_test.go
@@ -107,8 +107,10 @@
 			"workspace x: has an empty key; lets nobody in",
 			func(c Content) bool { return len(c.Workspaces) == 1 && len(c.Workspaces["x"].KeyHashes) == 0 },
 		}, {
+			// Without any workspace, calls would need no key.
 			"nameless workspace", func(d *Document) { d.AddWorkspace(Workspace{KeyHashes: keys("one")}) },
-			"workspace: has no name; left out", func(c Content) bool { return len(c.Workspaces) == 0 },
+			"workspace: has no name; its keys let nobody in",
+			func(c Content) bool { return len(c.Workspaces) == 1 && len(c.Workspaces[nameless].KeyHashes) == 0 },
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -156,6 +158,7 @@
 				})
 			}
 		})
+		keyed := len(d.Content.Workspaces) > 0
 		d.Normalize()
 		s, err := d.State()
 		if err != nil {
@@ -167,6 +170,9 @@
 		if len(s.Content.Routes) != len(d.Content.Routes) {
 			t.Fatal("routes were lost")
 		}
+		if keyed && len(s.Content.Workspaces) == 0 {
+			t.Fatal("calls need no key any more")
+		}
 		b, err := s.Encode()
 		if err != nil {
 			t.Fatal(err)
