Read once more: one check of where a route leads, one constructor of its tables

Two checks of a route, for commands and for what is held, were copies that differed in the least weight and in a route without a service; one loop serves both now, with the same reasons in the same order (TestCommandsAreJudgedByTheSameRules). The tables of routes were made in two places, each of which had to learn of the hosts. The stamp of freshness was set twice on one way. Two tests sent the same call by hand; a name of the users' pages stood in a test of settings.

No behaviour changed, and no test demands less.

--- a/internal/callpath/request_test.go
+++ b/internal/callpath/request_test.go
@@ -44,12 +44,7 @@
 	} {
 		t.Run(text, func(t *testing.T) {
 			is := is.New(t)
-			req, err := http.NewRequest(http.MethodGet, r.srv.URL+"/normal", nil)
-			is.NoErr(err)
-			req.Header.Set(HeaderCaller, "c")
-			req.Header.Set(HeaderTimeout, text)
-			res, err := r.client.Do(req)
-			is.NoErr(err)
+			res := r.sendWith(HeaderTimeout, text)
 			res.Body.Close()
 			is.Equal(res.StatusCode, status)
 		})
@@ -62,14 +57,25 @@
 	is := is.New(t)
 	r := newRig(t, 1, 4, 0)
 	id := "0123456789abcdef" + strings.Repeat(".0123456789abcdef", maxDepth-1)
-	req, err := http.NewRequest(http.MethodGet, r.srv.URL+"/normal", nil)
-	is.NoErr(err)
-	req.Header.Set(HeaderCaller, "c")
-	req.Header.Set(HeaderRequest, id)
-	res, err := r.client.Do(req)
-	is.NoErr(err)
+	res := r.sendWith(HeaderRequest, id)
 	defer res.Body.Close()
 	seen, err := io.ReadAll(res.Body)
 	is.NoErr(err)
 	is.Equal(string(seen), id)
 }
+
+// sendWith sends a call with one more header.
+func (r *rig) sendWith(header, value string) *http.Response {
+	r.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, r.srv.URL+"/normal", nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Header.Set(HeaderCaller, "c")
+	req.Header.Set(header, value)
+	res, err := r.client.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return res
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -178,50 +178,29 @@
 }
 
 // routeConsistent reports the first thing that a route names and the content lacks.
-func (c Content) routeConsistent(r Route) error {
-	for _, t := range r.Targets() {
-		if err := c.serviceExists(r, t.Service); err != nil {
-			return err
-		}
-		if t.Weight < 0 {
-			return weightError(r, t)
-		}
-	}
-	return c.namesExist(r)
-}
+func (c Content) routeConsistent(r Route) error { return c.routeLeads(r, r.Targets(), 0) }
 
 // routeCommandable demands more of a route that a command may have left behind: a service,
 // and a weight for each share. Its errors are part of the rules.
 func (c Content) routeCommandable(r Route) error {
-	if len(r.Shares) == 0 {
-		if err := c.serviceExists(r, r.Service); err != nil {
-			return err
-		}
-	}
-	for _, t := range r.Shares {
-		if err := c.serviceExists(r, t.Service); err != nil {
-			return err
-		}
-		if t.Weight < 1 {
-			return weightError(r, t)
-		}
+	targets := r.Targets()
+	if len(targets) == 0 {
+		targets = []Share{{Service: r.Service, Weight: 1}}
 	}
-	return c.namesExist(r)
+	return c.routeLeads(r, targets, 1)
 }
 
-func weightError(r Route, t Share) error {
-	return errors.Errorf("route %s gives service %s the weight %d", r.Name, t.Service, t.Weight)
-}
-
-func (c Content) serviceExists(r Route, service string) error {
-	if _, ok := c.Services[service]; !ok {
-		return errors.Errorf("route %s names service %s, which does not exist", r.Name, service)
+// routeLeads reports the first thing that the content lacks for a route with these targets,
+// each of which must have the least weight.
+func (c Content) routeLeads(r Route, targets []Share, least int) error {
+	for _, t := range targets {
+		if _, ok := c.Services[t.Service]; !ok {
+			return errors.Errorf("route %s names service %s, which does not exist", r.Name, t.Service)
+		}
+		if t.Weight < least {
+			return errors.Errorf("route %s gives service %s the weight %d", r.Name, t.Service, t.Weight)
+		}
 	}
-	return nil
-}
-
-// namesExist reports what else a route names and the content lacks.
-func (c Content) namesExist(r Route) error {
 	if _, ok := c.Policies[r.Policy]; !ok {
 		return errors.Errorf("route %s names policy %s, which does not exist", r.Name, r.Policy)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,7 +64,7 @@
 // deployment, for the form of its names.
 func TestNamesOfVMsAreTheInstallersOwn(t *testing.T) {
 	is := is.New(t)
-	for _, name := range []string{"sidecar-a-1", "Sidecar_A:1", "10.0.0.1", strings.Repeat("long-name-", 20)} {
+	for _, name := range []string{"front-a-1", "Front_A:1", "10.0.0.1", strings.Repeat("long-name-", 20)} {
 		s, err := Parse([]byte("vm: " + strconv.Quote(name) + "\nfailure_domain: Zone_A\nregion: EU.West\nlog: {url: u}\n"))
 		is.NoErr(err)
 		is.Equal(s.VM, name)
--- a/internal/system/freshness.go
+++ b/internal/system/freshness.go
@@ -60,8 +60,8 @@
 
 // runFreshness passes the stamp on, and says when it gets too old and when it is renewed.
 func runFreshness(w *table.World, out *Outbox) {
-	out.Stamp = w.Fresh.Stamp
 	if w.Params.Revoke == 0 {
+		out.Stamp = w.Fresh.Stamp
 		return
 	}
 	links := neighbours(w)
--- a/internal/view/routes.go
+++ b/internal/view/routes.go
@@ -79,13 +79,18 @@
 
 // NewRoutes returns these routes.
 func NewRoutes(list ...*Route) *Routes {
-	t := &Routes{byName: make(map[string]*Route, len(list)), index: make(map[place]*Route, len(list)), hosts: map[string]bool{}}
+	t := emptyRoutes(len(list))
 	for _, r := range list {
 		t.add(r)
 	}
 	return t
 }
 
+// emptyRoutes returns tables with room for n routes.
+func emptyRoutes(n int) *Routes {
+	return &Routes{byName: make(map[string]*Route, n), index: make(map[place]*Route, n), hosts: map[string]bool{}}
+}
+
 func (t *Routes) add(r *Route) {
 	t.byName[r.Name] = r
 	// Of two routes at one place the first by name counts, on every daemon.
@@ -107,10 +112,8 @@
 		known = t.byName
 	}
 	c := state.Content
-	next := &Routes{
-		state: state, byName: make(map[string]*Route, len(c.Routes)), index: make(map[place]*Route, len(c.Routes)),
-		hosts: map[string]bool{},
-	}
+	next := emptyRoutes(len(c.Routes))
+	next.state = state
 	for name, r := range c.Routes {
 		old := known[name]
 		if old == nil || !old.madeOf(r, c) {
