callpath: the rate limit that an upstream states is logged and measured

Nothing is limited yet.

A higher limit counts only in the answer to a request that was sent after the current one was stated: earlier answers may still be on their way.

--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -32,7 +32,10 @@
 	HeaderReason       = "Comfrey-Reason"
 	HeaderRetryAfter   = "Comfrey-Retry-After-Ms"
 	HeaderVersion      = "Comfrey-Version"
-	headerPrefix       = "Comfrey-"
+	// HeaderRateLimit is sent by upstreams in responses: the rate limit that they state, in
+	// requests per second.
+	HeaderRateLimit = "Comfrey-Rate-Limit"
+	headerPrefix    = "Comfrey-"
 	// headerIdempotency is the conventional header for an idempotency key, under which a
 	// caller repeats a request.
 	headerIdempotency = "Idempotency-Key"
--- a/internal/callpath/dialect.go
+++ b/internal/callpath/dialect.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/comfreygate/comfreygate/internal/admission"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
 
@@ -37,6 +38,11 @@
 	// upstream reports in a response; false: the response does not say. Nil: upstreams
 	// never report it.
 	ReportedRequests func(http.Header) (int, bool)
+	// RateLimit returns the rate limit that an upstream states in a response: how many
+	// requests per second it accepts from all daemons together, or admission.Unlimited if
+	// the response states none. False: the statement is malformed. Nil: upstreams never
+	// state a rate limit.
+	RateLimit func(http.Header) (perSecond float64, ok bool)
 	// EchoesRequestID is set if upstreams repeat Request in their responses. A response
 	// with another ID then belongs to another request.
 	EchoesRequestID bool
@@ -49,7 +55,23 @@
 
 // DefaultDialect returns the product's own headers.
 func DefaultDialect() Dialect {
-	return Dialect{Request: HeaderRequest, Timeout: HeaderTimeout, Caller: HeaderCaller, Key: HeaderWorkspaceKey, Workspace: HeaderWorkspace, Depth: HeaderDepth}
+	return Dialect{
+		Request: HeaderRequest, Timeout: HeaderTimeout, Caller: HeaderCaller, Key: HeaderWorkspaceKey, Workspace: HeaderWorkspace, Depth: HeaderDepth,
+		RateLimit: func(h http.Header) (float64, bool) { return ParseRateLimit(h.Get(HeaderRateLimit)) },
+	}
+}
+
+// ParseRateLimit parses a rate limit in requests per second: a decimal number from 0 on. An
+// empty text is admission.Unlimited; any other text is malformed, and the result false.
+func ParseRateLimit(text string) (perSecond float64, ok bool) {
+	if text == "" {
+		return admission.Unlimited, true
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return 0, false
+	}
+	return perSecond, true
 }
 
 // set sets a header unless the dialect has no name for it.
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -24,6 +24,11 @@
 	Voided metrics.Counter
 	// Silent counts connections that were given up because they delivered nothing.
 	Silent metrics.Counter
+	// Sent counts the requests sent to upstreams.
+	Sent metrics.Counter
+	// RateLimit is the sum of the rate limits that the upstreams of this VM state, in requests
+	// per second; zero if none states one.
+	RateLimit metrics.GaugeFloat64
 	// Started counts the attempts that an upstream responded to, Refused those that the
 	// owner refused.
 	Started metrics.Counter
@@ -56,6 +61,7 @@
 		Unknown: counter("unknown"), Retries: counter("retries"), RetryDenied: counter("retries_denied"),
 		RetriesFoundRoom: counter("retries_found_room"),
 		Voided:           counter("voided"), Silent: counter("silent"), Started: counter("attempts_started"),
+		Sent: counter("attempts_sent"), RateLimit: metrics.GetOrRegisterGaugeFloat64("upstreams.rate_limit", r),
 		Refused: counter("attempts_refused"), CrashedAttempts: counter("upstream_ended"),
 		OverLimit: counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
 		Quarantined: counter("quarantined"), UpstreamCrashes: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -65,8 +65,10 @@
 	// rolloutActive is set while any rollout is in progress. Responses to ingress daemons
 	// then carry the time that the upstream took.
 	rolloutActive atomic.Bool
-	// logLimit limits how many log lines are written about attempts.
-	logLimit lineLimit
+	// logLimit limits how many log lines are written about attempts, limitLogLimit how many
+	// about the rate limits of upstreams.
+	logLimit      lineLimit
+	limitLogLimit lineLimit
 
 	mu        sync.Mutex
 	upstreams map[string]*localUpstream
@@ -82,6 +84,7 @@
 	pool     *pool
 	crashes  crashDetector
 	attempts runningAttempts
+	limit    statedLimit
 }
 
 // NewOwner returns an owner without upstreams. Callers must call Close when done.
@@ -139,7 +142,7 @@
 	if loc == nil {
 		loc = &localUpstream{
 			gate: admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs)),
-			addr: l.Addr, conns: l.Conns, process: l.Process,
+			addr: l.Addr, conns: l.Conns, process: l.Process, limit: newStatedLimit(),
 			pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect),
 		}
 		o.upstreams[l.ID] = loc
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -121,6 +121,7 @@
 	if err != nil {
 		return o.failed(ctx, loc, a, began, err)
 	}
+	o.observeRateLimit(loc, a, res.Header, began)
 	if r, refused := o.cfg.Dialect.refusal(res); refused {
 		// Nobody uses the body of an upstream's refusal.
 		res.Body.Close()
@@ -231,6 +232,7 @@
 		return outcome.ReasonCancelled
 	}
 	set(req.Header, o.cfg.Dialect.Timeout, strconv.FormatInt(left.Milliseconds(), 10))
+	o.cfg.Metrics.Sent.Inc(1)
 	return ""
 }
 
--- /dev/null
+++ b/internal/callpath/statedlimit.go
@@ -0,0 +1,95 @@
+package callpath
+
+import (
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/comfreygate/comfreygate/internal/admission"
+)
+
+// statedLimit is the rate limit that an upstream states in its responses, in requests per
+// second. It is safe for concurrent use.
+type statedLimit struct {
+	mu sync.Mutex
+	// perSecond is admission.Unlimited while the upstream states no limit.
+	perSecond float64
+	// since is when a response first stated the current limit.
+	since time.Time
+}
+
+func newStatedLimit() statedLimit { return statedLimit{perSecond: admission.Unlimited} }
+
+// observe records the limit that a response states to a request sent at sentAt. It returns
+// the previous limit and whether the limit changed. A higher limit counts only if the
+// request was sent after the current limit was first stated: the upstream may have begun to
+// send that response before it lowered its limit.
+func (l *statedLimit) observe(now, sentAt time.Time, perSecond float64) (previous float64, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	previous = l.perSecond
+	if perSecond == previous || perSecond > previous && sentAt.Before(l.since) {
+		return previous, false
+	}
+	l.perSecond, l.since = perSecond, now
+	return previous, true
+}
+
+// current returns the limit in force.
+func (l *statedLimit) current() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.perSecond
+}
+
+// observeRateLimit records the rate limit that the upstream states in its response to the
+// attempt, which was sent at sentAt.
+func (o *Owner) observeRateLimit(loc *localUpstream, a *Attempt, h http.Header, sentAt time.Time) {
+	if o.cfg.Dialect.RateLimit == nil {
+		return
+	}
+	perSecond, ok := o.cfg.Dialect.RateLimit(h)
+	if !ok {
+		o.logRateLimit(o.cfg.Logger.Warn(), a, loc.limit.current(), "upstream stated a malformed rate limit; the previous one stays in force")
+		return
+	}
+	previous, changed := loc.limit.observe(o.cfg.Now(), sentAt, perSecond)
+	if !changed {
+		return
+	}
+	o.cfg.Metrics.RateLimit.Update(o.totalRateLimit())
+	o.logRateLimit(withRateLimit(o.cfg.Logger.Info(), "limit", perSecond), a, previous, "upstream changed its rate limit")
+}
+
+// totalRateLimit returns the sum of the rate limits that the upstreams of this VM state.
+func (o *Owner) totalRateLimit() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	total := 0.0
+	for _, loc := range o.upstreams {
+		if limit := loc.limit.current(); limit != admission.Unlimited {
+			total += limit
+		}
+	}
+	return total
+}
+
+// logRateLimit logs what a response says about an upstream's rate limit, with the limit
+// known before.
+func (o *Owner) logRateLimit(e *zerolog.Event, a *Attempt, previous float64, msg string) {
+	if !mayLog(o.cfg.Logger, &o.limitLogLimit, o.cfg.Now(), "upstream-limit") {
+		return
+	}
+	withRateLimit(e, "previous", previous).Str("step", "upstream-limit").Str("peer", a.Upstream).Str("request", a.Request).Msg(msg)
+}
+
+// withRateLimit adds a rate limit to a log line, unless there is none.
+func withRateLimit(e *zerolog.Event, key string, perSecond float64) *zerolog.Event {
+	if math.IsInf(perSecond, 1) {
+		return e
+	}
+	return e.Float64(key, perSecond)
+}
