--- a/itest/cmd/upstreamd/main.go
+++ b/itest/cmd/upstreamd/main.go
@@ -26,6 +26,8 @@
 	id      string
 	// delay is the time added to every call, in milliseconds.
 	delay atomic.Int64
+	// rateLimit is the text of the rate limit stated in answers; nil or empty: none.
+	rateLimit atomic.Pointer[string]
 	// crashed receives a value when a request crashes the upstream.
 	crashed chan struct{}
 }
@@ -110,8 +112,8 @@
 	}
 }
 
-// ServeHTTP runs a request: it appends "run", the request ID and the upstream's ID to the
-// journal, then answers with the request ID followed by the request's body. Query
+// ServeHTTP runs a request: it appends "run", the request ID, the upstream's ID and the time in
+// Unix milliseconds to the journal, then answers with the request ID followed by the request's body. Query
 // parameters: delay_ms adds a delay; crash_ms crashes the upstream after that time; cut
 // closes the connection in the middle of the response, which has no Content-Length if the
 // value is "chunked".
@@ -121,12 +123,17 @@
 		u.delay.Store(ms)
 		return
 	}
+	if r.URL.Path == "/.limit" {
+		limit := r.URL.Query().Get("rate")
+		u.rateLimit.Store(&limit)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request arrived incomplete and was not run
 	}
 	request := r.Header.Get("Comfrey-Request-Id")
-	fmt.Fprintf(u.journal, "run %s %s\n", request, u.id)
+	fmt.Fprintf(u.journal, "run %s %s %d\n", request, u.id, time.Now().UnixMilli())
 	if crash := r.URL.Query().Get("crash_ms"); crash != "" {
 		ms, _ := strconv.ParseInt(crash, 10, 64)
 		time.AfterFunc(time.Duration(ms)*time.Millisecond, u.crash)
@@ -147,6 +154,9 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 	}
 	w.Header().Set("Upstream", u.id)
+	if limit := u.rateLimit.Load(); limit != nil && *limit != "" {
+		w.Header().Set("Comfrey-Rate-Limit", *limit)
+	}
 	w.Header().Set("Saw-Timeout", r.Header.Get("Comfrey-Timeout-Ms"))
 	if r.URL.Query().Has("cut") {
 		w.Write(response[:len(response)/2])
--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -53,8 +53,11 @@
 	// restarts.
 	callersAddr atomic.Pointer[string]
 	// Peers and Owner are proxies in front of the daemon's listeners for other daemons.
-	Peers        *fault.Proxy
-	Owner        *fault.Proxy
+	Peers *fault.Proxy
+	Owner *fault.Proxy
+	// local is a proxy in front of the daemon's listener for upstreams, whose address stays
+	// the same when the daemon restarts.
+	local        *fault.Proxy
 	proc         *process
 	incarnations int
 }
@@ -141,7 +144,7 @@
 func (c *Cluster) AddVM(name, domain string) *VM {
 	c.T.Helper()
 	ip := newIP()
-	vm := &VM{c: c, Name: name, Domain: domain, IP: ip, Peers: c.proxy(ip), Owner: c.proxy(ip)}
+	vm := &VM{c: c, Name: name, Domain: domain, IP: ip, Peers: c.proxy(ip), Owner: c.proxy(ip), local: c.proxy("127.0.0.1")}
 	c.VMs = append(c.VMs, vm)
 	vm.Start()
 	return vm
@@ -174,6 +177,7 @@
 	v.callersAddr.Store(&line.Listen.Callers)
 	v.Peers.SetTarget(v.Addrs.Peers)
 	v.Owner.SetTarget(v.Addrs.Owner)
+	v.local.SetTarget(v.Addrs.Local)
 }
 
 // Kill sends SIGKILL to the daemon.
@@ -188,14 +192,25 @@
 // Resume resumes a paused daemon.
 func (v *VM) Resume() { v.proc.signal(syscall.SIGCONT) }
 
-// AddUpstream starts an upstream on the VM and waits until it listens.
+// AddUpstream starts an upstream on the VM and waits until it listens. It does not find the
+// daemon again if that restarts.
 func (v *VM) AddUpstream(service string, args ...string) *Upstream {
+	return v.addUpstream(v.Addrs.Local, service, args)
+}
+
+// AddLastingUpstream is AddUpstream with an upstream that announces itself again when the
+// daemon has restarted.
+func (v *VM) AddLastingUpstream(service string, args ...string) *Upstream {
+	return v.addUpstream(v.local.Addr(), service, args)
+}
+
+func (v *VM) addUpstream(daemon, service string, args []string) *Upstream {
 	c := v.c
 	c.T.Helper()
 	c.upstreamCount++
 	u := &Upstream{ID: fmt.Sprintf("up%d", c.upstreamCount)}
 	args = append([]string{
-		"-id", u.ID, "-service", service, "-daemon", v.Addrs.Local, "-journal", c.path("journal"),
+		"-id", u.ID, "-service", service, "-daemon", daemon, "-journal", c.path("journal"),
 	}, args...)
 	u.proc = start(c.T, c.path(u.ID+".out"), c.bin.Upstream, args...)
 	u.Addr = u.proc.awaitLine("127.0.0.1:")
@@ -231,11 +246,23 @@
 	res.Body.Close()
 }
 
+// SetRateLimit sets the rate limit that the upstream states in its answers, in requests per
+// second; an empty text: none.
+func (u *Upstream) SetRateLimit(t testing.TB, limit string) {
+	res, err := http.Get(fmt.Sprintf("http://%s/.limit?rate=%s", u.Addr, limit))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
+
 // JournalEntry is one line of the journal that all upstreams write.
 type JournalEntry struct {
 	Verb     string
 	Request  string
 	Upstream string
+	// At is when a request was received, to the millisecond. It is set for the verb "run".
+	At time.Time
 }
 
 // Journal returns the upstreams' journal entries in the order in which they were written.
@@ -249,7 +276,11 @@
 	scan := bufio.NewScanner(f)
 	for scan.Scan() {
 		var r JournalEntry
-		if n, _ := fmt.Sscan(scan.Text(), &r.Verb, &r.Request, &r.Upstream); n == 3 {
+		var atMs int64
+		if n, _ := fmt.Sscan(scan.Text(), &r.Verb, &r.Request, &r.Upstream, &atMs); n >= 3 {
+			if n > 3 {
+				r.At = time.UnixMilli(atMs)
+			}
 			entries = append(entries, r)
 		}
 	}
