An upstream gets no more requests a second than it says it takes

All attempts at an upstream pass the gate of the daemon on its VM, whichever daemon they entered at and whatever is cut off, so that is where the limit is counted: a token bucket in front of the slots, with the same queue, so that urgent calls go first under a limit as without one. What cannot be let through in time is refused at once (upstream-limit) with the time by which it could, and goes on to another upstream within the budget for refusals. The load that is reported counts no more slots than the limit keeps busy, so that calls are sent elsewhere before they are refused. Daemons that were told repeat the limit with their attempts: the daemon beside the upstream may have restarted and not had an answer yet.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,11 +1,12 @@
 // Package admission decides which attempts run at an upstream: as many at once as it has
-// slots, the next ones in the order of their urgency, and none whose answer would come
-// too late. It does no I/O; the clock is passed in.
+// slots and as many per second as it accepts, the next ones in the order of their urgency,
+// and none whose answer would come too late. It does no I/O; the clock is passed in.
 package admission
 
 import (
 	"container/heap"
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -23,8 +24,8 @@
 	AnswerMargin = 15 * time.Millisecond
 )
 
-// Gate admits attempts to one upstream: at most as many at once as it has slots, plus a
-// short queue. In the queue, nested calls whose parent upstream is shorter of slots than
+// Gate admits attempts to one upstream: at most as many at once as it has slots, and as many
+// per second as its rate limit allows, plus a short queue. In the queue, nested calls whose parent upstream is shorter of slots than
 // this one go first, then the more urgent attempts, then flows take turns, then the first
 // to arrive. The queue is not ordered by deadline: calls with short deadlines would then
 // starve calls of equal urgency with long ones. All other attempts are refused at once.
@@ -49,12 +50,34 @@
 	direct servedAverage
 	// lost estimates the attempts in flight that no longer hold a slot at the upstream.
 	lost lostAnswers
+	// rate bounds the attempts per second.
+	rate rateLimiter
+	// afterFunc calls a function after a time; admitAt is when it will next call admitDue, or
+	// zero.
+	afterFunc func(time.Duration, func())
+	admitAt   time.Time
 }
 
 // New returns the gate of an upstream that has been ready since readySince, with the given
 // numbers of slots and of places in its queue.
 func New(now func() time.Time, slots, maxQueue int, readySince time.Time) *Gate {
-	return &Gate{now: now, slots: slots, maxQueue: maxQueue, readySince: readySince, meanService: initialServiceTime}
+	return &Gate{
+		now: now, slots: slots, maxQueue: maxQueue, readySince: readySince, meanService: initialServiceTime,
+		rate:      rateLimiter{perSecond: Unlimited},
+		afterFunc: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+	}
+}
+
+// SetTimer replaces time.AfterFunc, for a gate whose clock is not the system's. It must be
+// called before the gate is used.
+func (g *Gate) SetTimer(afterFunc func(time.Duration, func())) { g.afterFunc = afterFunc }
+
+// SetRate sets how many attempts per second the upstream accepts; Unlimited: any number.
+func (g *Gate) SetRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rate.set(g.now(), perSecond)
+	g.admitWaiting()
 }
 
 // Resize applies new settings of the upstream.
@@ -83,6 +106,16 @@
 	g.closed = ""
 }
 
+// Rate returns how many attempts per second are admitted; zero: there is no limit.
+func (g *Gate) Rate() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.rate.limited() {
+		return 0
+	}
+	return g.rate.perSecond
+}
+
 // limit returns how many attempts may be in flight now. Each attempt in flight whose answer
 // is estimated to be lost allows one more.
 func (g *Gate) limit() int {
@@ -129,7 +162,7 @@
 	if g.closed != "" {
 		return nil, g.closed, g.retryAfter()
 	}
-	if g.inFlight < g.limit() && len(g.queue) == 0 {
+	if g.inFlight < g.limit() && len(g.queue) == 0 && g.rate.take(g.now()) {
 		g.inFlight++
 		g.recordDirect(a, true)
 		return nil, "", 0
@@ -138,17 +171,27 @@
 	w := g.newWaiter(a)
 	if !g.mayQueue(w) {
 		g.recordDirect(a, false)
-		return nil, outcome.ReasonOverload, g.retryAfter()
+		return nil, g.capacityReason(), g.retryAfter()
 	}
 	if len(g.queue) >= g.maxQueue {
-		g.refuseWaiter(g.queue.last(), outcome.ReasonOverload)
+		g.refuseWaiter(g.queue.last(), g.capacityReason())
 		w.start = g.flows.start(w.Flow)
 	}
 	g.flows.enqueue(w.Flow, w.start)
 	heap.Push(&g.queue, w)
+	g.scheduleAdmission()
 	return w, "", 0
 }
 
+// capacityReason returns the reason for which an attempt that may not wait is refused: the
+// upstream has no free slot, or its rate limit is used up.
+func (g *Gate) capacityReason() outcome.Reason {
+	if g.inFlight < g.limit() && g.rate.limited() {
+		return outcome.ReasonUpstreamLimit
+	}
+	return outcome.ReasonOverload
+}
+
 // newWaiter returns a waiter for an attempt, with its rank.
 func (g *Gate) newWaiter(a Request) *Waiter {
 	return &Waiter{
@@ -222,15 +265,15 @@
 	switch {
 	case g.closed != "":
 		return g.closed, g.retryAfter()
-	case g.inFlight < g.limit():
+	case g.inFlight < g.limit() && g.rate.wait(g.now(), 1) == 0:
 		return "", 0
 	case !g.mayQueue(g.newWaiter(a)):
-		return outcome.ReasonOverload, g.retryAfter()
+		return g.capacityReason(), g.retryAfter()
 	}
 	return "", 0
 }
 
-// expectedWait estimates how long an attempt would wait for a slot.
+// expectedWait estimates how long an attempt would wait to be admitted.
 func (g *Gate) expectedWait(w *Waiter) time.Duration {
 	ahead := 1
 	for _, q := range g.queue {
@@ -238,7 +281,13 @@
 			ahead++
 		}
 	}
-	return g.meanService * time.Duration(ahead) / time.Duration(max(1, g.limit()))
+	return g.waitFor(ahead)
+}
+
+// waitFor estimates the time until the next n attempts will have been admitted.
+func (g *Gate) waitFor(n int) time.Duration {
+	forSlots := g.meanService * time.Duration(n) / time.Duration(max(1, g.limit()))
+	return max(forSlots, g.rate.wait(g.now(), n))
 }
 
 // RetryAfter is the time until the attempts that are queued now will have been admitted.
@@ -250,8 +299,7 @@
 
 // retryAfter is RetryAfter for callers that hold the mutex.
 func (g *Gate) retryAfter() time.Duration {
-	wait := g.meanService * time.Duration(len(g.queue)+1) / time.Duration(max(1, g.limit()))
-	return min(max(wait, outcome.MinRetryAfter), outcome.MaxRetryAfter)
+	return min(max(g.waitFor(len(g.queue)+1), outcome.MinRetryAfter), outcome.MaxRetryAfter)
 }
 
 // Release returns a slot after the attempt ran for the given time, and admits the next
@@ -267,6 +315,16 @@
 	g.admitWaiting()
 }
 
+// ReleaseUnsent releases the slot of an attempt that was admitted and not sent to the
+// upstream, so that it does not count against the rate limit either.
+func (g *Gate) ReleaseUnsent() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	g.rate.giveBack()
+	g.admitWaiting()
+}
+
 // updatedMeanService returns the mean service time with one more measurement.
 func (g *Gate) updatedMeanService(took time.Duration) time.Duration {
 	if !g.serviceMeasured {
@@ -283,6 +341,10 @@
 			g.refuseWaiter(w, outcome.ReasonDeadline)
 			continue
 		}
+		if !g.rate.take(now) {
+			g.scheduleAdmission()
+			return
+		}
 		heap.Remove(&g.queue, w.index)
 		g.flows.dequeue(w.start)
 		g.inFlight++
@@ -291,6 +353,28 @@
 	}
 }
 
+// scheduleAdmission makes the first waiter be admitted once the rate limit allows it. If all
+// slots are in use, the release of one does that.
+func (g *Gate) scheduleAdmission() {
+	if !g.rate.limited() || g.inFlight >= g.limit() {
+		return
+	}
+	now := g.now()
+	wait := g.rate.wait(now, 1)
+	if at := now.Add(wait); g.admitAt.IsZero() || at.Before(g.admitAt) {
+		g.admitAt = at
+		g.afterFunc(wait, g.admitDue)
+	}
+}
+
+// admitDue admits the waiters that the rate limit has come to allow.
+func (g *Gate) admitDue() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admitAt = time.Time{}
+	g.admitWaiting()
+}
+
 // Withdraw refuses a waiter that gave up, unless it has been decided in the meantime.
 func (g *Gate) Withdraw(w *Waiter, reason outcome.Reason) {
 	g.mu.Lock()
@@ -316,7 +400,16 @@
 func (g *Gate) Load() outcome.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return outcome.Load{InFlight: g.inFlight, Queued: len(g.queue), Slots: g.limit(), Service: g.meanService}
+	return outcome.Load{InFlight: g.inFlight, Queued: len(g.queue), Slots: g.usableSlots(), Service: g.meanService}
+}
+
+// usableSlots returns how many slots can be busy on average: no more than the rate limit
+// keeps busy.
+func (g *Gate) usableSlots() int {
+	if !g.rate.limited() {
+		return g.limit()
+	}
+	return min(g.limit(), max(1, int(math.Round(g.rate.perSecond*g.meanService.Seconds()))))
 }
 
 // RecordRunning records how many attempts the upstream reports that it is running. It is
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/comfreygate/comfreygate/internal/admission"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/suspect"
@@ -32,8 +33,8 @@
 	HeaderReason       = "Comfrey-Reason"
 	HeaderRetryAfter   = "Comfrey-Retry-After-Ms"
 	HeaderVersion      = "Comfrey-Version"
-	// HeaderRateLimit is sent by upstreams in responses: the rate limit that they state, in
-	// requests per second.
+	// HeaderRateLimit holds an upstream's rate limit, in requests per second. Upstreams state
+	// it in responses; daemons exchange it with attempts and their results.
 	HeaderRateLimit = "Comfrey-Rate-Limit"
 	headerPrefix    = "Comfrey-"
 	// headerIdempotency is the conventional header for an idempotency key, under which a
@@ -108,6 +109,9 @@
 	// WaitFraction is the result of Dialect.waitFraction for Request. It is set on nested
 	// calls only.
 	WaitFraction float64
+	// RateLimit is the upstream's rate limit in requests per second, as far as the ingress
+	// knows; zero: none. An owner that has just started knows none itself.
+	RateLimit float64
 	// Repeated is set if an upstream may already have received the call or its parent
 	// request: the nested calls of a repeated run count as repeats at their upstreams
 	// too.
@@ -157,6 +161,22 @@
 // permille converts a fraction to the integer that is sent in a header.
 const permille = 1000
 
+// setRateLimitHeader sets the header of an upstream's rate limit unless there is none.
+func setRateLimitHeader(h http.Header, perSecond float64) {
+	if perSecond > 0 {
+		h.Set(HeaderRateLimit, strconv.FormatFloat(perSecond, 'f', -1, 64))
+	}
+}
+
+// rateLimitHeader returns the rate limit in a message between daemons; zero: none.
+func rateLimitHeader(h http.Header) float64 {
+	perSecond, ok := ParseRateLimit(h.Get(HeaderRateLimit))
+	if !ok || perSecond == admission.Unlimited {
+		return 0
+	}
+	return perSecond
+}
+
 // setClockHeader sets the clock header to the logical clock of this daemon's events.
 func setClockHeader(h http.Header, events *event.Ring) {
 	h.Set(headerClock, strconv.FormatInt(events.Clock().Now(), 10))
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -59,6 +59,7 @@
 	services map[string]*view.Service
 	waiting  []*simWait
 	simUpstream
+	simRateLimit
 }
 
 type simWait struct {
@@ -230,7 +231,7 @@
 		if i >= large {
 			vm.service = "small"
 		}
-		vm.gate = admission.New(clock, load.slots, load.slots, time.Time{})
+		s.startOwner(vm)
 		vm.simUpstream = newSimUpstream(clock)
 		vm.ingress = NewIngress(IngressConfig{
 			Limits: testLimits(),
@@ -359,6 +360,7 @@
 		return
 	}
 	to := s.byID[u.ID]
+	c.attempt.RateLimit = in.picker.RateLimit(u.ID)
 	c.attempt.Repeated = c.attempt.Repeated || t.reached > 0
 	s.attempts++
 	if to.domain != vm.domain {
@@ -389,9 +391,12 @@
 	req := admissionRequest(&c.attempt)
 	refuse := func(reason outcome.Reason, after time.Duration) {
 		r := outcome.Refuse(reason, after)
-		r.Load, r.HasLoad = to.gate.Load(), true
+		r.Load, r.HasLoad, r.RateLimit = to.gate.Load(), true, to.gate.Rate()
 		reply(r)
 	}
+	if c.attempt.RateLimit > 0 {
+		to.known.recall(s.now, c.attempt.RateLimit)
+	}
 	if reason := s.refusalOnArrival(vm, to, c); reason != "" {
 		refuse(reason, 0)
 		return
@@ -399,7 +404,7 @@
 	w, reason, after := to.gate.Enter(req)
 	switch {
 	case w == nil && reason == "":
-		s.runAttempt(to, k, c, req, reply)
+		s.runAttempt(vm, to, k, c, req, reply)
 	case w == nil:
 		refuse(reason, after)
 	default:
@@ -408,10 +413,11 @@
 				refuse(reason, to.gate.RetryAfter())
 				return
 			}
-			s.runAttempt(to, k, c, req, reply)
+			s.runAttempt(vm, to, k, c, req, reply)
 		}})
+		gate := to.gate
 		s.after(req.Deadline.Sub(s.now)-admission.AnswerMargin, func() {
-			to.gate.Withdraw(w, outcome.ReasonDeadline)
+			gate.Withdraw(w, outcome.ReasonDeadline)
 			s.deliverDecisions(to)
 		})
 	}
@@ -444,23 +450,25 @@
 	vm           *simVM
 }
 
-// runAttempt runs an admitted attempt at an upstream.
-func (s *fleetSim) runAttempt(vm *simVM, k *simKind, c *call, a admission.Request, reply func(outcome.Result)) {
+// runAttempt runs an admitted attempt, which entered at the VM from, at an upstream.
+func (s *fleetSim) runAttempt(from, vm *simVM, k *simKind, c *call, a admission.Request, reply func(outcome.Result)) {
+	gate, known := vm.gate, vm.known
 	if c.attempt.Repeated {
 		s.repeatsAt[vm.service]++
 	}
 	if vm.down {
-		vm.gate.Release(0)
+		gate.Release(0)
 		reply(outcome.Refuse(outcome.ReasonUnreachable, outcome.MinRetryAfter))
 		s.deliverDecisions(vm)
 		return
 	}
 	if s.rng.Float64() < s.refusalRate[vm.service] {
-		vm.gate.Release(0)
+		gate.Release(0)
 		reply(outcome.Refuse(outcome.ReasonUpstreamRefused, 0))
 		s.deliverDecisions(vm)
 		return
 	}
+	vm.recordArrival(s.now, from)
 	sigma := math.Sqrt(math.Log(1 + k.spread*k.spread))
 	factor := math.Exp(sigma*s.rng.NormFloat64() - sigma*sigma/2)
 	took := time.Duration(float64(k.work) * factor / vm.speed * s.slowdown(vm))
@@ -469,11 +477,11 @@
 	finished := false
 	finish, refusal := s.startRun(vm, k, c, func() {
 		finished = true
-		vm.gate.Release(s.now.Sub(began))
+		gate.Release(s.now.Sub(began))
 		reply(outcome.MayHaveRun(outcome.ReasonCrashed, nil))
 	})
 	if refusal != "" {
-		vm.gate.Release(0)
+		gate.Release(0)
 		reply(outcome.Refuse(refusal, 0))
 		s.deliverDecisions(vm)
 		return
@@ -485,9 +493,10 @@
 		finished = true
 		finish(status)
 		spent := s.now.Sub(began)
-		load := vm.gate.LoadAfter(spent)
-		vm.gate.Release(spent)
-		reply(outcome.Result{Outcome: outcome.Answered, Status: status, Body: http.NoBody, Load: load, HasLoad: true})
+		known.observe(s.now, began, vm.stated)
+		load := gate.LoadAfter(spent)
+		gate.Release(spent)
+		reply(outcome.Result{Outcome: outcome.Answered, Status: status, Body: http.NoBody, Load: load, HasLoad: true, RateLimit: gate.Rate()})
 		s.deliverDecisions(vm)
 	}
 	pending := 1
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -399,6 +399,7 @@
 	a.ID = fmt.Sprintf("%s-%d", in.incarnationID, in.attempts.Add(1))
 	a.Upstream = u.ID
 	a.Incarnation = u.Incarnation
+	a.RateLimit = in.picker.RateLimit(u.ID)
 	began := in.cfg.Now()
 	var r outcome.Result
 	if u.Local {
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -84,7 +84,7 @@
 	pool     *pool
 	crashes  crashDetector
 	attempts runningAttempts
-	limit    statedLimit
+	limit    *statedLimit
 }
 
 // NewOwner returns an owner without upstreams. Callers must call Close when done.
@@ -135,17 +135,21 @@
 		l.Conns = s.Connections
 	}
 	loc := o.upstreams[l.ID]
+	previous := loc
 	if loc != nil && (loc.addr != l.Addr || loc.conns != l.Conns || loc.process != l.Process) {
 		loc.gate.Close(outcome.ReasonUpstreamRemoved)
 		loc = nil
 	}
 	if loc == nil {
+		gate := admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs))
 		loc = &localUpstream{
-			gate: admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs)),
-			addr: l.Addr, conns: l.Conns, process: l.Process, limit: newStatedLimit(),
+			gate: gate, limit: newStatedLimit(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process,
 			pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect),
 		}
 		o.upstreams[l.ID] = loc
+		if previous != nil && previous.addr == loc.addr && previous.process == loc.process {
+			loc.limit.recall(o.cfg.Now(), previous.limit.current())
+		}
 	}
 	ramp := time.Duration(0)
 	if s := v.Services[l.Service]; s != nil {
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -189,6 +189,7 @@
 		}
 	}
 	a.Repeated = h.Get(headerRepeated) != ""
+	a.RateLimit = rateLimitHeader(h)
 	a.AnyHost = h.Get(headerAnyHost) != ""
 	left, err := strconv.ParseInt(h.Get(headerLeft), 10, 64)
 	if err != nil {
@@ -245,6 +246,7 @@
 	if r.HasLoad {
 		h.Set(headerLoad, r.Load.Encode())
 	}
+	setRateLimitHeader(h, r.RateLimit)
 	if r.Took > 0 && o.rolloutActive.Load() {
 		h.Set(headerTook, strconv.FormatInt(r.Took.Microseconds(), 10))
 	}
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -56,7 +56,11 @@
 // refuses the attempt.
 func (o *Owner) refuseAdmitted(loc *localUpstream, a *Attempt, r outcome.Result) outcome.Result {
 	loc.attempts.remove(a)
-	loc.gate.Release(0)
+	if r.Reached() {
+		loc.gate.Release(0)
+	} else {
+		loc.gate.ReleaseUnsent()
+	}
 	o.ledger.abandon(a.ID)
 	return o.refused(a, r)
 }
@@ -88,6 +92,7 @@
 	if loc == nil {
 		return nil, outcome.Refuse(outcome.ReasonUpstreamRemoved, 0)
 	}
+	o.recallRateLimit(loc, a)
 	if reason, ok := o.ledger.receive(a); !ok {
 		if reason == outcome.ReasonDuplicate {
 			return nil, outcome.MayHaveRun(outcome.ReasonDuplicate, errors.New("duplicate request: an earlier copy of it was already received"))
@@ -107,6 +112,7 @@
 	r.Load = loc.gate.Load()
 	r.Load.Intake = o.intake.wait()
 	r.HasLoad = true
+	r.RateLimit = loc.gate.Rate()
 	return r
 }
 
@@ -141,7 +147,7 @@
 	took := o.cfg.Now().Sub(began)
 	load := loc.gate.LoadAfter(took)
 	load.Intake = o.intake.wait()
-	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true, Took: took}
+	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true, RateLimit: loc.gate.Rate(), Took: took}
 }
 
 // failed returns the result of a request that got no response. The request is known not
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -152,6 +152,7 @@
 	if a.Repeated {
 		h.Set(headerRepeated, "1")
 	}
+	setRateLimitHeader(h, a.RateLimit)
 	h.Set(HeaderDepth, strconv.Itoa(a.Depth))
 	if a.AnyHost {
 		h.Set(headerAnyHost, "1")
@@ -193,6 +194,7 @@
 	mergeSuspectHeader(res.Header, r.suspects)
 	out := outcome.Result{Outcome: outcome.Kind(res.Header.Get(HeaderOutcome))}
 	out.Load, out.HasLoad = outcome.DecodeLoad(res.Header.Get(headerLoad))
+	out.RateLimit = rateLimitHeader(res.Header)
 	if out.Outcome == outcome.Answered {
 		if us, err := strconv.ParseInt(res.Header.Get(headerTook), 10, 64); err == nil && us > 0 {
 			out.Took = time.Duration(us) * time.Microsecond
--- a/internal/callpath/statedlimit.go
+++ b/internal/callpath/statedlimit.go
@@ -14,14 +14,22 @@
 // statedLimit is the rate limit that an upstream states in its responses, in requests per
 // second. It is safe for concurrent use.
 type statedLimit struct {
+	// apply puts a changed limit in force. It is called with the mutex held, so that changes
+	// are applied in the order in which they are recorded.
+	apply func(perSecond float64)
+
 	mu sync.Mutex
 	// perSecond is admission.Unlimited while the upstream states no limit.
 	perSecond float64
 	// since is when a response first stated the current limit.
 	since time.Time
+	// answered is set once the upstream has responded to a request of this process.
+	answered bool
 }
 
-func newStatedLimit() statedLimit { return statedLimit{perSecond: admission.Unlimited} }
+func newStatedLimit(apply func(perSecond float64)) *statedLimit {
+	return &statedLimit{apply: apply, perSecond: admission.Unlimited}
+}
 
 // observe records the limit that a response states to a request sent at sentAt. It returns
 // the previous limit and whether the limit changed. A higher limit counts only if the
@@ -30,14 +38,32 @@
 func (l *statedLimit) observe(now, sentAt time.Time, perSecond float64) (previous float64, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.answered = true
 	previous = l.perSecond
 	if perSecond == previous || perSecond > previous && sentAt.Before(l.since) {
 		return previous, false
 	}
-	l.perSecond, l.since = perSecond, now
+	l.change(now, perSecond)
 	return previous, true
 }
 
+// recall records the limit that another daemon knows of, unless the upstream has responded
+// since this process started. It reports whether the limit changed.
+func (l *statedLimit) recall(now time.Time, perSecond float64) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.answered || perSecond >= l.perSecond {
+		return false
+	}
+	l.change(now, perSecond)
+	return true
+}
+
+func (l *statedLimit) change(now time.Time, perSecond float64) {
+	l.perSecond, l.since = perSecond, now
+	l.apply(perSecond)
+}
+
 // current returns the limit in force.
 func (l *statedLimit) current() float64 {
 	l.mu.Lock()
@@ -56,12 +82,22 @@
 		o.logRateLimit(o.cfg.Logger.Warn(), a, loc.limit.current(), "upstream stated a malformed rate limit; the previous one stays in force")
 		return
 	}
-	previous, changed := loc.limit.observe(o.cfg.Now(), sentAt, perSecond)
-	if !changed {
-		return
+	if previous, changed := loc.limit.observe(o.cfg.Now(), sentAt, perSecond); changed {
+		o.rateLimitChanged(a, previous, perSecond, "upstream changed its rate limit")
+	}
+}
+
+// recallRateLimit records the rate limit of the attempt's upstream that the sender of the
+// attempt knows of.
+func (o *Owner) recallRateLimit(loc *localUpstream, a *Attempt) {
+	if a.RateLimit > 0 && loc.limit.recall(o.cfg.Now(), a.RateLimit) {
+		o.rateLimitChanged(a, admission.Unlimited, a.RateLimit, "rate limit of the upstream known from the sender of an attempt")
 	}
+}
+
+func (o *Owner) rateLimitChanged(a *Attempt, previous, perSecond float64, msg string) {
 	o.cfg.Metrics.RateLimit.Update(o.totalRateLimit())
-	o.logRateLimit(withRateLimit(o.cfg.Logger.Info(), "limit", perSecond), a, previous, "upstream changed its rate limit")
+	o.logRateLimit(withRateLimit(o.cfg.Logger.Info(), "limit", perSecond), a, previous, msg)
 }
 
 // totalRateLimit returns the sum of the rate limits that the upstreams of this VM state.
@@ -77,8 +113,8 @@
 	return total
 }
 
-// logRateLimit logs what a response says about an upstream's rate limit, with the limit
-// known before.
+// logRateLimit logs what is learned about an upstream's rate limit, with the limit known
+// before.
 func (o *Owner) logRateLimit(e *zerolog.Event, a *Attempt, previous float64, msg string) {
 	if !mayLog(o.cfg.Logger, &o.limitLogLimit, o.cfg.Now(), "upstream-limit") {
 		return
--- a/internal/callpath/statedlimit_test.go
+++ b/internal/callpath/statedlimit_test.go
@@ -5,8 +5,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreygate/comfreygate/internal/admission"
+	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/table"
+	"github.com/comfreygate/comfreygate/internal/view"
+	"github.com/comfreygate/comfreygate/internal/wire"
 )
 
 // TestStatedLimitChanges: a lower limit counts at once. A higher one, or none, counts only in
@@ -14,7 +19,8 @@
 // may have written an earlier response before it lowered its limit.
 func TestStatedLimitChanges(t *testing.T) {
 	is := is.New(t)
-	l := newStatedLimit()
+	applied := admission.Unlimited
+	l := newStatedLimit(func(perSecond float64) { applied = perSecond })
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	observe := func(now, sentAt int, perSecond float64) bool {
 		_, changed := l.observe(at(now), at(sentAt), perSecond)
@@ -29,4 +35,34 @@
 	is.True(observe(200, 140, 80))
 	is.True(observe(300, 250, admission.Unlimited))
 	is.Equal(l.current(), admission.Unlimited)
+	is.Equal(applied, admission.Unlimited)
+}
+
+// TestLimitIsRecalledUntilTheUpstreamAnswers: a daemon that has just started takes the lowest
+// limit that other daemons know of, until the upstream says itself what holds.
+func TestLimitIsRecalledUntilTheUpstreamAnswers(t *testing.T) {
+	is := is.New(t)
+	l := newStatedLimit(func(float64) {})
+	at := time.Unix(1000, 0)
+	is.True(l.recall(at, 60))
+	is.True(!l.recall(at, 80))
+	is.True(l.recall(at, 40))
+	_, changed := l.observe(at.Add(2), at.Add(1), 90)
+	is.True(changed)
+	is.True(!l.recall(at.Add(3), 10))
+	is.Equal(l.current(), 90.0)
+}
+
+// TestRateLimitOutlivesAChangeOfConnections: a configuration that allows an upstream another
+// number of connections does not make its owner forget the upstream's rate limit.
+func TestRateLimitOutlivesAChangeOfConnections(t *testing.T) {
+	is := is.New(t)
+	w := newWorker(t, "w", 4, 0, event.NewRing("vm", event.NewClock(time.Now), 16), NewMetrics(metrics.NewRegistry()))
+	update := func(connections int) *localUpstream {
+		w.owner.Update(&view.View{Locals: []table.Local{{Upstream: wire.Upstream{ID: "w", Service: "s", Slots: 4}, Addr: "127.0.0.1:1", Conns: connections}}})
+		return w.owner.upstreams["w"]
+	}
+	update(8).limit.observe(time.Now(), time.Now(), 30)
+	is.Equal(update(8).gate.Rate(), 30.0)
+	is.Equal(update(12).gate.Rate(), 30.0)
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -47,6 +47,8 @@
 	ReasonDraining        Reason = "draining"
 	ReasonUpstreamRemoved Reason = "upstream-gone"
 	ReasonOverload        Reason = "overload"
+	// ReasonUpstreamLimit: the upstream accepts no more requests per second.
+	ReasonUpstreamLimit Reason = "upstream-limit"
 	// ReasonLink: the body would wait too long for the network link of the owner's VM.
 	ReasonLink Reason = "link-busy"
 	// ReasonUpstreamRefused: the upstream itself refused the request.
@@ -81,6 +83,9 @@
 	RetryAfter time.Duration
 	Load       Load
 	HasLoad    bool
+	// RateLimit is the rate limit that the upstream states, in requests per second; zero:
+	// none.
+	RateLimit float64
 	// Took is how long the upstream took to answer; zero if unknown.
 	Took time.Duration
 	// Status, Header and Body are the answer, if Outcome is Answered. The
@@ -128,7 +133,14 @@
 
 // RefusedForCapacity reports whether the owner refused the attempt for lack of capacity at present.
 func (r Result) RefusedForCapacity() bool {
-	return r.Outcome == NotRun && (r.Reason == ReasonOverload || r.Reason == ReasonLink || r.Reason == ReasonOtherSuspect)
+	if r.Outcome != NotRun {
+		return false
+	}
+	switch r.Reason {
+	case ReasonOverload, ReasonUpstreamLimit, ReasonLink, ReasonOtherSuspect:
+		return true
+	}
+	return false
 }
 
 // RefusedAsSuspect reports whether the attempt was refused because the request is a suspect,
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -42,6 +42,9 @@
 	load        outcome.Load
 	loadAt      time.Time
 	errorRate   float64
+	// rateLimit is the upstream's rate limit in requests per second, as its owner reported
+	// with the last answer or refusal; zero: none.
+	rateLimit float64
 	// avoidUntil is, by urgency, the time until which the owner asked to send no calls. A
 	// refusal says nothing about more urgent calls, which may displace waiting ones.
 	avoidUntil [config.MostUrgent + 1]time.Time
@@ -102,6 +105,7 @@
 	if r.HasLoad {
 		st.load = r.Load
 		st.loadAt = p.now()
+		st.rateLimit = r.RateLimit
 	}
 	p.recordRefusal(u.Service, st, urgency, r, p.now())
 	switch {
@@ -143,6 +147,17 @@
 	return st
 }
 
+// RateLimit returns the rate limit of an upstream in requests per second, as last reported;
+// zero: none.
+func (p *Picker) RateLimit(upstream string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.stats[upstream]; st != nil {
+		return st.rateLimit
+	}
+	return 0
+}
+
 // SetDown records whether an owner is reachable. It reports whether that changed.
 func (p *Picker) SetDown(owner string, down bool) bool {
 	p.mu.Lock()
--- a/itest/limit_test.go
+++ b/itest/limit_test.go
@@ -42,6 +42,17 @@
 	return most
 }
 
+// runsElsewhere returns how many requests the other upstreams have got since from.
+func runsElsewhere(c *harness.Cluster, upstream string, from time.Time) int {
+	n := 0
+	for _, e := range c.Journal() {
+		if e.Verb == "run" && e.Upstream != upstream && e.At.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
 // checkLimit lets the upstream get calls for limitWindow under the limit that it has just
 // stated, and fails the test if it gets more than that allows.
 func checkLimit(t *testing.T, c *harness.Cluster, u *harness.Upstream, limit float64, when string) {
@@ -51,7 +62,7 @@
 	time.Sleep(limitWindow)
 	most := mostInWindow(c, u.ID, from, time.Now())
 	allowed := limitExcess*limit*limitWindow.Seconds() + limitSlack
-	t.Logf("%s: %d requests in %v, limit %v/s", when, most, limitWindow, limit)
+	t.Logf("%s: %d requests in %v, limit %v/s; other upstreams got %d", when, most, limitWindow, limit, runsElsewhere(c, u.ID, from))
 	if float64(most) > allowed {
 		t.Errorf("%s: upstream with a limit of %v/s got %d requests in %v, allowed %.0f", when, limit, most, limitWindow, allowed)
 	}
@@ -67,9 +78,12 @@
 func TestUpstreamGetsNoMoreThanItsRateLimit(t *testing.T) {
 	c, ups := threeDomains(t, "-delay-ms", "20")
 	limited := ups[0]
-	load := harness.StartLoad(60, c.VMs, harness.PostCalls("limit"))
-	defer load.Stop()
-	load.AwaitResponses(t, 100)
+	for _, v := range c.VMs {
+		// Callers of their own, since those of a daemon that is cut off wait.
+		load := harness.StartLoad(15, []*harness.VM{v}, harness.PostCalls(v.Name))
+		defer load.Stop()
+		load.AwaitResponses(t, 25)
+	}
 	limited.SetRateLimit(t, "40")
 	checkLimit(t, c, limited, 40, "first limit")
 	limited.SetRateLimit(t, "12.5")
