--- a/itest/cmd/upstreamd/main.go
+++ b/itest/cmd/upstreamd/main.go
@@ -28,6 +28,9 @@
 	delay atomic.Int64
 	// rateLimit is the text of the rate limit stated in answers; nil or empty: none.
 	rateLimit atomic.Pointer[string]
+	// draining is set once answers state that the upstream is draining. It goes on
+	// announcing itself as before.
+	draining atomic.Bool
 	// crashed receives a value when a request crashes the upstream.
 	crashed chan struct{}
 }
@@ -128,6 +131,10 @@
 		u.rateLimit.Store(&limit)
 		return
 	}
+	if r.URL.Path == "/.drain" {
+		u.draining.Store(true)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request arrived incomplete and was not run
@@ -158,6 +165,9 @@
 		w.Header().Set("Comfrey-Rate-Limit", *limit)
 	}
 	w.Header().Set("Saw-Timeout", r.Header.Get("Comfrey-Timeout-Ms"))
+	if u.draining.Load() {
+		w.Header().Set("Comfrey-Draining", "1")
+	}
 	if r.URL.Query().Has("cut") {
 		w.Write(response[:len(response)/2])
 		http.NewResponseController(w).Flush()
--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -239,17 +239,20 @@
 
 // SetDelay sets the time that each call takes at the upstream.
 func (u *Upstream) SetDelay(t testing.TB, d time.Duration) {
-	res, err := http.Get(fmt.Sprintf("http://%s/.delay?ms=%d", u.Addr, d.Milliseconds()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	res.Body.Close()
+	u.control(t, fmt.Sprintf("/.delay?ms=%d", d.Milliseconds()))
 }
 
 // SetRateLimit sets the rate limit that the upstream states in its answers, in requests per
 // second; an empty text: none.
-func (u *Upstream) SetRateLimit(t testing.TB, limit string) {
-	res, err := http.Get(fmt.Sprintf("http://%s/.limit?rate=%s", u.Addr, limit))
+func (u *Upstream) SetRateLimit(t testing.TB, limit string) { u.control(t, "/.limit?rate="+limit) }
+
+// StateDraining makes the upstream state in its answers that it is draining, and nowhere else.
+func (u *Upstream) StateDraining(t testing.TB) { u.control(t, "/.drain") }
+
+// control changes how the upstream behaves.
+func (u *Upstream) control(t testing.TB, path string) {
+	t.Helper()
+	res, err := http.Get("http://" + u.Addr + path)
 	if err != nil {
 		t.Fatal(err)
 	}
