An upstream that says in its answers that it is draining gets no more calls

Now the owner shuts its gate at the first such answer and tells the other daemons; a daemon that has passed one on does not send the upstream anything again, whatever its owner says after a restart.

An incarnation is what drains: the record of an upstream says which run of its process it is where the ID does not, so that a restarted one gets calls again, and without the rate limit of the one before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -153,7 +153,7 @@
 	a.owner = callpath.NewOwner(callpath.OwnerConfig{
 		Incarnation: a.world.Self.Incarnation, QueueFactor: s.Calls.QueueFactor,
 		ConnectTimeout: time.Duration(s.Calls.ConnectTimeout), IdleTimeout: time.Duration(s.Calls.UpstreamIdle),
-		LinkMbps: s.Calls.LinkMbps, Suspects: a.suspects, LimitCoordinator: limiter, Events: a.events, Metrics: m, Dialect: opts.Dialect, Logger: opts.Logger, Now: time.Now,
+		LinkMbps: s.Calls.LinkMbps, Suspects: a.suspects, LimitCoordinator: limiter, OnDraining: a.upstreamDraining, Events: a.events, Metrics: m, Dialect: opts.Dialect, Logger: opts.Logger, Now: time.Now,
 	})
 	a.ingress = callpath.NewIngress(callpath.IngressConfig{
 		VM: s.VM, Domain: s.FailureDomain, Caller: s.Platform.Service, MaxBody: s.Calls.MaxBody,
@@ -292,6 +292,10 @@
 	}
 }
 
+// upstreamDraining records that an upstream of this VM has stated in a response that it is
+// draining.
+func (a *Agent) upstreamDraining(id string) { go a.input(system.Deregistered{ID: id}) }
+
 // install puts a new view in force. The owner is updated before the ingress, so that the
 // owner never refuses calls which the ingress already routes by the new view.
 func (a *Agent) install(v *view.View) {
--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -123,8 +123,12 @@
 // force contains the upstream.
 func (a *Agent) Announce(n Announcement) {
 	name := a.upstreamName(n.ID)
+	up := wire.Upstream{ID: incarnationID(name, n.StartedMs), Service: n.Service, Version: n.Version, Slots: n.Slots, Draining: n.Draining}
+	if n.Incarnation != n.ID {
+		up.ProcessIncarnation = n.Incarnation
+	}
 	a.input(system.Announced{Local: table.Local{
-		Upstream: wire.Upstream{ID: incarnationID(name, n.StartedMs), Service: n.Service, Version: n.Version, Slots: n.Slots, Draining: n.Draining},
+		Upstream: up,
 		Name:     name, Incarnation: n.Incarnation, StartedMs: n.StartedMs, Addr: n.Addr, Conns: n.Connections, Process: n.Process, Sequence: n.Sequence,
 	}})
 	a.Inspect(noop)
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -36,7 +36,10 @@
 	// HeaderRateLimit holds an upstream's rate limit, in requests per second. Upstreams state
 	// it in responses; daemons exchange it with attempts and their results.
 	HeaderRateLimit = "Comfrey-Rate-Limit"
-	headerPrefix    = "Comfrey-"
+	// HeaderDraining is present if an upstream is draining. Upstreams state it in responses,
+	// and owners pass it on with the results of attempts.
+	HeaderDraining = "Comfrey-Draining"
+	headerPrefix   = "Comfrey-"
 	// headerIdempotency is the conventional header for an idempotency key, under which a
 	// caller repeats a request.
 	headerIdempotency = "Idempotency-Key"
--- a/internal/callpath/dialect.go
+++ b/internal/callpath/dialect.go
@@ -43,6 +43,9 @@
 	// the response states none. False: the statement is malformed. Nil: upstreams never
 	// state a rate limit.
 	RateLimit func(http.Header) (perSecond float64, ok bool)
+	// Draining reports whether an upstream states in a response that it is draining. Nil:
+	// upstreams never state it there.
+	Draining func(http.Header) bool
 	// EchoesRequestID is set if upstreams repeat Request in their responses. A response
 	// with another ID then belongs to another request.
 	EchoesRequestID bool
@@ -58,6 +61,7 @@
 	return Dialect{
 		Request: HeaderRequest, Timeout: HeaderTimeout, Caller: HeaderCaller, Key: HeaderWorkspaceKey, Workspace: HeaderWorkspace, Depth: HeaderDepth,
 		RateLimit: func(h http.Header) (float64, bool) { return ParseRateLimit(h.Get(HeaderRateLimit)) },
+		Draining:  func(h http.Header) bool { return h.Get(HeaderDraining) != "" },
 	}
 }
 
--- a/internal/callpath/headers_test.go
+++ b/internal/callpath/headers_test.go
@@ -12,7 +12,7 @@
 	for name, want := range map[string]string{
 		HeaderCaller: "Caller", HeaderKey: "Key", HeaderRequest: "Request-Id", HeaderTimeout: "Timeout-Ms",
 		HeaderDepth: "Depth", HeaderOutcome: "Outcome", HeaderReason: "Reason", HeaderRetryAfter: "Retry-After-Ms",
-		HeaderVersion: "Version", HeaderRateLimit: "Rate-Limit", headerAttempt: "Attempt", headerUpstream: "Upstream", headerIncarnation: "Incarnation",
+		HeaderVersion: "Version", HeaderRateLimit: "Rate-Limit", HeaderDraining: "Draining", headerAttempt: "Attempt", headerUpstream: "Upstream", headerIncarnation: "Incarnation",
 		headerUrgency: "Urgency", headerNested: "Nested", headerRepeated: "Repeated", headerLeft: "Left-Us",
 		headerSent: "Sent-Us", headerObjective: "Objective-Us", headerLoad: "Load", headerSuspect: "Suspect", headerAnyHost: "Any-Host", headerClock: "Clock",
 	} {
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -417,6 +417,9 @@
 	}
 	in.recordForRollout(c, u, r)
 	in.picker.Observe(u, a.Urgency, r)
+	if r.Draining && in.picker.SetDraining(u) {
+		logDraining(in.cfg.Logger, a.Upstream, a.Request)
+	}
 	if r.Outcome == outcome.Answered {
 		r.Body = &answerBody{ReadCloser: r.Body, onClose: func() { in.picker.Finished(u) }}
 	} else {
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -38,11 +38,14 @@
 	// LimitCoordinator handles the requests of other daemons about workspace limits. Nil
 	// if this daemon is not a limit coordinator.
 	LimitCoordinator http.Handler
-	Dialect          Dialect
-	Logger           zerolog.Logger
-	Events           *event.Ring
-	Metrics          *Metrics
-	Now              func() time.Time
+	// OnDraining is called with the ID of an upstream that states in a response that it is
+	// draining, once for each of its incarnations. It must not block. May be nil.
+	OnDraining func(upstream string)
+	Dialect    Dialect
+	Logger     zerolog.Logger
+	Events     *event.Ring
+	Metrics    *Metrics
+	Now        func() time.Time
 }
 
 // Owner runs attempts at the upstreams on its VM. It is safe for concurrent use.
@@ -80,7 +83,12 @@
 	addr  string
 	conns int
 	// process names the upstream's process, or is empty.
-	process  string
+	process string
+	// incarnation identifies the run of the upstream.
+	incarnation string
+	// draining is set once this incarnation has stated in a response that it is draining.
+	// Guarded by the mutex of the Owner.
+	draining bool
 	pool     *pool
 	crashes  crashDetector
 	attempts runningAttempts
@@ -143,20 +151,26 @@
 	if loc == nil {
 		gate := admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs))
 		loc = &localUpstream{
-			gate: gate, limit: newStatedLimit(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process,
+			gate: gate, limit: newStatedLimit(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
 			pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect),
 		}
 		o.upstreams[l.ID] = loc
 		if previous != nil && previous.addr == loc.addr && previous.process == loc.process {
 			loc.limit.recall(o.cfg.Now(), previous.limit.current())
+			loc.draining = previous.draining
 		}
 	}
+	if loc.incarnation != l.Incarnation {
+		loc.incarnation = l.Incarnation
+		loc.limit.reset()
+		loc.draining = false
+	}
 	ramp := time.Duration(0)
 	if s := v.Services[l.Service]; s != nil {
 		ramp = s.Ramp
 	}
 	loc.gate.Resize(l.Slots, ramp)
-	if l.Draining || v.Leaving {
+	if l.Draining || v.Leaving || loc.draining {
 		loc.gate.Close(outcome.ReasonDraining)
 	} else {
 		loc.gate.Open()
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -247,6 +247,9 @@
 		h.Set(headerLoad, r.Load.Encode())
 	}
 	setRateLimitHeader(h, r.RateLimit)
+	if r.Draining {
+		h.Set(HeaderDraining, "1")
+	}
 	if r.Took > 0 && o.rolloutActive.Load() {
 		h.Set(headerTook, strconv.FormatInt(r.Took.Microseconds(), 10))
 	}
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -128,6 +128,7 @@
 		return o.failed(ctx, loc, a, began, err)
 	}
 	o.observeRateLimit(loc, a, res.Header, began)
+	draining := o.observeDraining(loc, a, res.Header)
 	if r, refused := o.cfg.Dialect.refusal(res); refused {
 		// Nobody uses the body of an upstream's refusal.
 		res.Body.Close()
@@ -147,7 +148,7 @@
 	took := o.cfg.Now().Sub(began)
 	load := loc.gate.LoadAfter(took)
 	load.Intake = o.intake.wait()
-	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true, RateLimit: loc.gate.Rate(), Took: took}
+	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true, RateLimit: loc.gate.Rate(), Draining: draining, Took: took}
 }
 
 // failed returns the result of a request that got no response. The request is known not
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -195,6 +195,7 @@
 	out := outcome.Result{Outcome: outcome.Kind(res.Header.Get(HeaderOutcome))}
 	out.Load, out.HasLoad = outcome.DecodeLoad(res.Header.Get(headerLoad))
 	out.RateLimit = rateLimitHeader(res.Header)
+	out.Draining = res.Header.Get(HeaderDraining) != ""
 	if out.Outcome == outcome.Answered {
 		if us, err := strconv.ParseInt(res.Header.Get(headerTook), 10, 64); err == nil && us > 0 {
 			out.Took = time.Duration(us) * time.Microsecond
--- a/internal/callpath/statedlimit.go
+++ b/internal/callpath/statedlimit.go
@@ -59,6 +59,14 @@
 	return true
 }
 
+// reset forgets the limit, when another incarnation of the upstream starts.
+func (l *statedLimit) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answered = false
+	l.change(time.Time{}, admission.Unlimited)
+}
+
 func (l *statedLimit) change(now time.Time, perSecond float64) {
 	l.perSecond, l.since = perSecond, now
 	l.apply(perSecond)
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -86,6 +86,8 @@
 	// RateLimit is the rate limit that the upstream states, in requests per second; zero:
 	// none.
 	RateLimit float64
+	// Draining is set if the upstream states that it is draining.
+	Draining bool
 	// Took is how long the upstream took to answer; zero if unknown.
 	Took time.Duration
 	// Status, Header and Body are the answer, if Outcome is Answered. The
--- a/internal/pick/locality.go
+++ b/internal/pick/locality.go
@@ -46,11 +46,11 @@
 
 // domainReachable reports whether this failure domain has a reachable upstream, full or not.
 func (p *Picker) domainReachable(groups *localityGroups) bool {
-	if groups.local != nil && !p.down[groups.local.Owner] {
+	if groups.local != nil && !p.down[groups.local.Owner] && !p.isDraining(groups.local) {
 		return true
 	}
 	for _, u := range groups.sameDomain {
-		if !p.down[u.Owner] {
+		if !p.down[u.Owner] && !p.isDraining(u) {
 			return true
 		}
 	}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -67,9 +67,13 @@
 // refusal returns the reason why none of a service's upstreams can be used, with the time
 // after which the first of those that sent a retry-after time may be tried again.
 func (p *Picker) refusal(s *view.Service, c Criteria, now time.Time) outcome.Result {
-	anyReachable, retryAfter := false, time.Duration(0)
+	anyLeft, anyReachable, retryAfter := false, false, time.Duration(0)
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
+		if p.isDraining(u) {
+			continue
+		}
+		anyLeft = true
 		if p.down[u.Owner] {
 			continue
 		}
@@ -79,7 +83,7 @@
 		}
 	}
 	switch {
-	case len(s.Upstreams) == 0:
+	case !anyLeft:
 		return outcome.Refuse(outcome.ReasonNoUpstream, DefaultRetryAfter)
 	case !anyReachable:
 		return outcome.Refuse(outcome.ReasonUnreachable, DefaultRetryAfter)
@@ -139,7 +143,7 @@
 
 // usable reports whether the upstream may be tried now.
 func (p *Picker) usable(u *view.Upstream, c Criteria, now time.Time) bool {
-	if p.down[u.Owner] || slices.Contains(c.Tried, u.ID) {
+	if p.down[u.Owner] || p.isDraining(u) || slices.Contains(c.Tried, u.ID) {
 		return false
 	}
 	st := p.stats[u.ID]
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -42,6 +42,10 @@
 	load        outcome.Load
 	loadAt      time.Time
 	errorRate   float64
+	// draining is set if the upstream has stated that it is draining; drainingIncarnation is
+	// the incarnation that did.
+	draining            bool
+	drainingIncarnation string
 	// rateLimit is the upstream's rate limit in requests per second, as its owner reported
 	// with the last answer or refusal; zero: none.
 	rateLimit float64
@@ -158,6 +162,25 @@
 	return 0
 }
 
+// SetDraining records that an upstream states that it is draining. Whatever its owner says
+// later, it is not picked again. SetDraining reports whether that is new.
+func (p *Picker) SetDraining(u view.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isDraining(&u) {
+		return false
+	}
+	st := p.statsOf(&u)
+	st.draining, st.drainingIncarnation = true, u.ProcessIncarnation
+	return true
+}
+
+// isDraining reports whether this incarnation of the upstream has stated that it is draining.
+func (p *Picker) isDraining(u *view.Upstream) bool {
+	st := p.stats[u.ID]
+	return st != nil && st.draining && st.drainingIncarnation == u.ProcessIncarnation
+}
+
 // SetDown records whether an owner is reachable. It reports whether that changed.
 func (p *Picker) SetDown(owner string, down bool) bool {
 	p.mu.Lock()
--- a/internal/pick/picker_test.go
+++ b/internal/pick/picker_test.go
@@ -173,3 +173,21 @@
 		f.Finished(u)
 	}
 }
+
+// TestDrainingUpstreamIsNotPicked: an upstream that has stated that it is draining gets no more
+// calls, also if its owner still lists it. Another incarnation under the same ID does.
+func TestDrainingUpstreamIsNotPicked(t *testing.T) {
+	is := is.New(t)
+	f := newPickerFixture("a", "b")
+	for i := range 3 {
+		is.True(f.SetDraining(f.service.Upstreams[i]))
+		is.True(!f.SetDraining(f.service.Upstreams[i]))
+	}
+	is.Equal(f.pickedDomains(testUpload), map[string]int{"b": 300}) // none is left in its own domain
+	f.service.Upstreams[0].ProcessIncarnation = "second"
+	is.Equal(f.pickedDomains(testUpload)["a"], 300)
+	f.service.Upstreams = f.service.Upstreams[1:3]
+	_, refusal, ok := f.Pick(f.service, Criteria{Urgency: config.Normal, Objective: testObjective})
+	is.True(!ok)
+	is.Equal(refusal.Reason, outcome.ReasonNoUpstream)
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -20,6 +20,8 @@
 	Service string
 	Version string
 	Slots   int
+	// ProcessIncarnation identifies the run of the upstream's process; empty: the ID does.
+	ProcessIncarnation string
 	// AnnouncedAt is when the upstream announced itself, by the clock of its daemon.
 	AnnouncedAt time.Time
 	// Daemon is the ID of the daemon that owns the upstream, Owner that daemon's address.
@@ -121,7 +123,7 @@
 			continue
 		}
 		s.Upstreams = append(s.Upstreams, Upstream{
-			ID: u.ID, Service: u.Service, Version: u.Version, Slots: u.Slots, AnnouncedAt: time.UnixMilli(u.AnnouncedAtMs),
+			ID: u.ID, Service: u.Service, Version: u.Version, Slots: u.Slots, ProcessIncarnation: u.ProcessIncarnation, AnnouncedAt: time.UnixMilli(u.AnnouncedAtMs),
 			Daemon: m.ID, Incarnation: m.Incarnation, Domain: m.Domain, Owner: m.Owner, Local: local,
 		})
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -23,6 +23,8 @@
 	// its daemon's clock. It is used only to ramp up the upstream's share of calls.
 	AnnouncedAtMs int64 `json:"since"`
 	Draining      bool  `json:"draining,omitempty"`
+	// ProcessIncarnation identifies the run of the upstream's process; empty: the ID does.
+	ProcessIncarnation string `json:"life,omitempty"`
 }
 
 // Member is a daemon's record of itself. Only that daemon writes it; of two
--- a/itest/drain_test.go
+++ b/itest/drain_test.go
@@ -67,6 +67,7 @@
 	from := time.Now()
 	time.Sleep(drainCheckTime)
 	checkDrained(t, c, ups[0], from)
+	c.AwaitUpstreams(2, c.VMs...) // all daemons have been told
 }
 
 // TestStatedDrainOutlivesARestartOfTheOwner: the daemon beside a draining upstream is killed
