--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -90,6 +90,8 @@
 	stopping atomic.Bool
 	inputs   chan system.Input
 	commands commandTable
+	// storeEpoch is the epoch of the store that was last passed to the loop.
+	storeEpoch atomic.Uint64
 	// readingConfig is set while a read of the configuration is in progress.
 	readingConfig atomic.Bool
 	// readingQuarantine is set while a read of quarantined requests is in progress.
--- a/internal/agent/configmetrics.go
+++ b/internal/agent/configmetrics.go
@@ -22,6 +22,8 @@
 	// be the newest.
 	installedAtMs atomic.Int64
 	lastConfirmed atomic.Int64
+	// storeEpoch is the epoch of the store.
+	storeEpoch atomic.Uint64
 	// documentsRead counts the documents read, including those counted in documentsRefused,
 	// which were not put in force.
 	documentsRead    metrics.Counter
@@ -39,6 +41,7 @@
 	gauge("version", func() int64 { return int64(m.version.Load()) })
 	gauge("age_ms", m.ageMs)
 	gauge("checked_ms", m.confirmedAgeMs)
+	r.GetOrRegister("store.epoch", metrics.NewFunctionalGauge(func() int64 { return int64(m.storeEpoch.Load()) }))
 	return m
 }
 
@@ -64,6 +67,7 @@
 func (m *configMetrics) update(w *table.World) {
 	m.version.Store(w.Config.State.Version)
 	m.lastConfirmed.Store(int64(w.Fresh.Timestamp))
+	m.storeEpoch.Store(w.Log.Epoch)
 	if !w.Config.Since.IsZero() {
 		m.installedAtMs.Store(w.Config.Since.UnixMilli())
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -165,7 +165,7 @@
 	switch e.Kind {
 	case event.Alarm:
 		level = a.logger.Error()
-	case event.LogDown, event.DocumentRefused, event.LinkLost, event.UpstreamRemoved, event.Quarantined, event.RolloutStopped, event.RolloutRefused, event.ConfigStale:
+	case event.LogDown, event.StoreRestored, event.DocumentRefused, event.LinkLost, event.UpstreamRemoved, event.Quarantined, event.RolloutStopped, event.RolloutRefused, event.ConfigStale:
 		level = a.logger.Warn()
 	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining,
 		event.Rollout, event.DocumentRead, event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged, event.ConfigFresh:
@@ -198,6 +198,7 @@
 func (a *Agent) readLog(from uint64) {
 	startedAt := boottime.Now()
 	batch, err := a.log.Read(a.ctx, store.Query{Topic: store.ConfigTopic, From: from, Wait: logReadWait})
+	a.noteStoreEpoch()
 	if err != nil {
 		sleep(a.ctx, readRetryDelay)
 	}
@@ -210,6 +211,7 @@
 func (a *Agent) readDocument(wait time.Duration) {
 	startedAt := boottime.Now()
 	doc, orders, err := a.source.Next(a.ctx, wait)
+	a.noteStoreEpoch()
 	if err != nil {
 		sleep(a.ctx, readRetryDelay)
 	}
@@ -228,11 +230,19 @@
 	})
 }
 
+// noteStoreEpoch tells the loop of a new epoch of the store.
+func (a *Agent) noteStoreEpoch() {
+	if epoch := a.log.Epoch(); a.storeEpoch.Swap(epoch) != epoch {
+		a.input(system.StoreEpoch{Epoch: epoch})
+	}
+}
+
 // callStore makes one call to the store, bounded by the store's timeout, and logs an error.
 func (a *Agent) callStore(step string, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(a.ctx, time.Duration(a.settings.Log.Timeout))
 	defer cancel()
 	err := call(ctx)
+	a.noteStoreEpoch()
 	if err != nil {
 		a.logger.Warn().Str("step", step).Str("peer", a.settings.Log.URL).Err(err).Msg("call to the store failed")
 	}
--- a/internal/agent/quarantine.go
+++ b/internal/agent/quarantine.go
@@ -53,6 +53,7 @@
 
 func (a *Agent) readQuarantine() {
 	r := a.quarantine.next(a.ctx)
+	a.noteStoreEpoch()
 	if r.Err != nil {
 		sleep(a.ctx, quarantineRetryDelay)
 	}
--- a/internal/devlog/devlog.go
+++ b/internal/devlog/devlog.go
@@ -57,13 +57,14 @@
 	faults  Faults
 	counts  Counts
 	changed chan struct{}
+	epoch   uint64
 }
 
 var _ store.Log = (*Log)(nil)
 
 // New returns an empty log.
 func New() *Log {
-	return &Log{topics: map[string]*topicRecords{}, changed: make(chan struct{})}
+	return &Log{topics: map[string]*topicRecords{}, changed: make(chan struct{}), epoch: 1}
 }
 
 type errDown struct{}
@@ -243,6 +244,13 @@
 	l.changed = make(chan struct{})
 }
 
+// Epoch implements store.Log.
+func (l *Log) Epoch() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch
+}
+
 // Counts returns the counts since the log was created.
 func (l *Log) Counts() Counts {
 	l.mu.Lock()
--- a/internal/devlog/http.go
+++ b/internal/devlog/http.go
@@ -23,7 +23,10 @@
 	mux.HandleFunc("POST /expire/{name}", l.serveExpire)
 	mux.HandleFunc("POST /reset", func(http.ResponseWriter, *http.Request) { l.Reset() })
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, l.Counts()) })
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(store.EpochHeader, strconv.FormatUint(l.Epoch(), 10))
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,7 @@
 	CallVoided       Kind = "call-voided"
 	LogDown          Kind = "log-down"
 	LogUp            Kind = "log-up"
+	StoreRestored    Kind = "store-restored"
 	Checkpointed     Kind = "checkpoint-appended"
 	RootChanged      Kind = "root-changed"
 	Alarm            Kind = "alarm"
--- a/internal/system/log.go
+++ b/internal/system/log.go
@@ -78,9 +78,11 @@
 	if up && !w.Log.Up {
 		out.event(event.Event{Kind: event.LogUp})
 	}
-	if !up && (w.Log.Up || !w.Log.Failed) {
+	status := store.StatusOf(err)
+	if !up && (w.Log.Up || !w.Log.Failed || status != w.Log.FailedStatus) {
 		out.event(event.Event{Kind: event.LogDown, Detail: err.Error()})
 	}
+	w.Log.FailedStatus = status
 	w.Log.Up = up
 	w.Log.Failed = !up
 }
--- /dev/null
+++ b/internal/system/restore.go
@@ -0,0 +1,25 @@
+package system
+
+import (
+	"fmt"
+
+	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/table"
+)
+
+// receiveStoreEpoch handles an epoch that the store has named. A later epoch than the one known
+// means that the store has come back from an older copy of itself.
+func receiveStoreEpoch(w *table.World, e StoreEpoch, out *Outbox) {
+	previous := w.Log.Epoch
+	if e.Epoch <= previous {
+		return
+	}
+	w.Log.Epoch = e.Epoch
+	if previous == 0 {
+		return // the first epoch that this daemon hears of
+	}
+	out.event(event.Event{
+		Kind: event.StoreRestored, Version: w.Config.State.Version,
+		Detail: fmt.Sprintf("store came back from an older copy: epoch %d after %d", e.Epoch, previous),
+	})
+}
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -69,6 +69,9 @@
 	StartedMs int64
 }
 
+// StoreEpoch carries the epoch that the store named in an answer.
+type StoreEpoch struct{ Epoch uint64 }
+
 // SeedsFound carries addresses of daemons that were read from the log.
 type SeedsFound struct{ Addrs []string }
 
@@ -189,6 +192,8 @@
 		drainUpstream(w, v.ID, out)
 	case Removed:
 		removeUpstream(w, now, v, out)
+	case StoreEpoch:
+		receiveStoreEpoch(w, v, out)
 	case SeedsFound:
 		addSeeds(w, now, v.Addrs)
 	case SelfListed:
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -252,6 +252,12 @@
 	// Regressed is set while the log ends before the position held: it was truncated or
 	// replaced.
 	Regressed bool
+	// Epoch is the highest epoch of the store that was seen; zero: none yet. A later epoch
+	// begins when the store comes back from an older copy of itself.
+	Epoch uint64
+	// FailedStatus is the status with which the store answered the last read if that failed,
+	// or zero if it did not answer.
+	FailedStatus int
 	// Failed is set if the last read failed, CaughtUp once a read has reached the end of
 	// the log.
 	Failed   bool
