platform: a store that comes back from an older copy, red on the code as it is

The stand-in keeps a copy, comes back from it in a new epoch, and answers 410 for an offset that it does not have. Three daemons over HTTP: 404 on the route of a version 2 s after it was acknowledged, where the restored topic ends before or at the offset that was read (it passes where the newest record lies beyond it).

--- a/internal/devlog/devlog.go
+++ b/internal/devlog/devlog.go
@@ -58,6 +58,8 @@
 	counts  Counts
 	changed chan struct{}
 	epoch   uint64
+	// saved is the copy that Restore comes back from.
+	saved map[string]*topicRecords
 }
 
 var _ store.Log = (*Log)(nil)
@@ -244,6 +246,33 @@
 	l.changed = make(chan struct{})
 }
 
+// Save keeps a copy of the log for Restore.
+func (l *Log) Save() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.saved = copyTopics(l.topics)
+}
+
+// Restore makes the log come back from the copy that Save kept last, or empty if there is
+// none. What was appended since is gone, its offsets are given out again, and a new epoch
+// begins.
+func (l *Log) Restore() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.topics = copyTopics(l.saved)
+	l.epoch++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func copyTopics(topics map[string]*topicRecords) map[string]*topicRecords {
+	out := make(map[string]*topicRecords, len(topics))
+	for name, s := range topics {
+		out[name] = &topicRecords{first: s.first, entries: slices.Clone(s.entries), newest: maps.Clone(s.newest)}
+	}
+	return out
+}
+
 // Epoch implements store.Log.
 func (l *Log) Epoch() uint64 {
 	l.mu.Lock()
--- a/internal/devlog/http.go
+++ b/internal/devlog/http.go
@@ -13,7 +13,7 @@
 )
 
 // Handler returns a handler for the store's HTTP protocol and for control of the log:
-// fault injection under /faults, and /expire, /reset and /counts.
+// fault injection under /faults, and /expire, /reset, /save, /restore and /counts.
 func (l *Log) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /log-append", l.serveAppend)
@@ -22,6 +22,8 @@
 	mux.HandleFunc("PUT /faults", l.serveFaults)
 	mux.HandleFunc("POST /expire/{name}", l.serveExpire)
 	mux.HandleFunc("POST /reset", func(http.ResponseWriter, *http.Request) { l.Reset() })
+	mux.HandleFunc("POST /save", func(http.ResponseWriter, *http.Request) { l.Save() })
+	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { l.Restore() })
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, l.Counts()) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(store.EpochHeader, strconv.FormatUint(l.Epoch(), 10))
@@ -115,7 +117,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	if from < batch.First {
+	if from < batch.First || from > batch.End && l.Epoch() > 1 {
 		w.WriteHeader(http.StatusGone)
 		writeJSON(w, store.ExpiredError{First: batch.First})
 		return
