--- a/internal/devlog/devlog.go
+++ b/internal/devlog/devlog.go
@@ -102,7 +102,7 @@
 	defer l.mu.Unlock()
 	l.counts.Reads++
 	s := l.recordsOf(topic)
-	out := store.NewestRecords{End: s.end()}
+	out := store.NewestRecords{End: s.end(), Epoch: l.epoch}
 	for _, key := range slices.Sorted(maps.Keys(s.newest)) {
 		out.Entries = append(out.Entries, s.newest[key])
 	}
@@ -176,7 +176,7 @@
 		return store.Batch{}, nil, errDown{}
 	}
 	s := l.recordsOf(topic)
-	batch := store.Batch{First: s.first, End: s.end()}
+	batch := store.Batch{First: s.first, End: s.end(), Epoch: l.epoch}
 	from = max(from, s.first)
 	if from < s.end() {
 		batch.Entries = s.entries[from-s.first:]
--- a/internal/devlog/http.go
+++ b/internal/devlog/http.go
@@ -117,9 +117,9 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	if from < batch.First || from > batch.End && l.Epoch() > 1 {
+	if from < batch.First || from > batch.End {
 		w.WriteHeader(http.StatusGone)
-		writeJSON(w, store.ExpiredError{First: batch.First})
+		writeJSON(w, store.GoneError{First: batch.First})
 		return
 	}
 	b, err := store.EncodeBatch(batch)
