A store that came back older does not confirm that a configuration is the newest

Seen while the cause of CONFIG and DENIED was looked for elsewhere; nobody has reported it. A reader that got an older configuration than the one held took the store's answer, and each later answer that there is nothing newer, for the word that the one held is the newest, although the store had lost what came after it: keys that had been taken away would be let in past their bound for as long. The store counts as behind now until the operator has written the version again or a later one.

--- a/internal/system/document.go
+++ b/internal/system/document.go
@@ -78,18 +78,20 @@
 }
 
 // applyDocument installs a document that was read if it is later than the one held. It
-// returns false if a newer document is known that could not be used: such a document may
-// have revoked keys, so the configuration held must not count as the newest. Because the
-// store returns a bad document only once, and afterwards answers that there is nothing
-// newer, AlarmDocument records that such a document is known.
+// returns whether the configuration held now counts as the newest. It does not if a newer
+// document is known that could not be used, or if the store holds an older one, as after a
+// restore: a document that is not in force may have revoked keys. Because the store returns a
+// document only once, and afterwards answers that there is nothing newer, AlarmDocument and
+// Log.Behind record that.
 func applyDocument(w *table.World, now time.Time, d config.Document, out *Outbox) bool {
 	current := w.Config.State
-	switch {
-	case d.Version == 0:
-		return w.Alarms[AlarmDocument] == ""
-	case d.Version < current.Version:
+	if d.Version == 0 {
+		return w.Alarms[AlarmDocument] == "" && !w.Log.Behind
+	}
+	w.Log.Behind = d.Version < current.Version
+	if w.Log.Behind {
 		reportDocument(d.Version, fmt.Sprintf("no later than version %d, which is held", current.Version), out)
-		return true
+		return false
 	}
 	d.Normalize()
 	outcome := "already held"
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -255,6 +255,9 @@
 	// Epoch is the highest epoch of the store that was seen; zero: none yet. A later epoch
 	// begins when the store comes back from an older copy of itself.
 	Epoch uint64
+	// Behind is set while the store's newest configuration is older than the one held here:
+	// the store came back from an older copy, and the operator has not written it again yet.
+	Behind bool
 	// FailedStatus is the status with which the store answered the last read if that failed,
 	// or zero if it did not answer.
 	FailedStatus int
