Rollouts are written again to a store that came back older

The record of a rollout, and its status for operators, that a restore took away were never written again: a daemon that started later would begin the rollout once more, or try a version that had been reverted. With a later epoch of the store each daemon forgets that they are stored; the first reader writes the record, only if the store's own is older, and then the status.

TestRolloutIsWrittenAgainAfterARestore failed before (0 records written in 2 s).

--- a/internal/system/restore.go
+++ b/internal/system/restore.go
@@ -2,13 +2,15 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/table"
 )
 
 // receiveStoreEpoch handles an epoch that the store has named. A later epoch than the one known
-// means that the store has come back from an older copy of itself.
+// means that the store has come back from an older copy of itself: what this system wrote last
+// is gone, and what this daemon still holds for true must be written again.
 func receiveStoreEpoch(w *table.World, e StoreEpoch, out *Outbox) {
 	previous := w.Log.Epoch
 	if e.Epoch <= previous {
@@ -22,4 +24,7 @@
 		Kind: event.StoreRestored, Version: w.Config.State.Version,
 		Detail: fmt.Sprintf("store came back from an older copy: epoch %d after %d", e.Epoch, previous),
 	})
+	for _, r := range w.Rollouts {
+		r.Stored, r.Published, r.Due = false, false, time.Time{}
+	}
 }
--- a/internal/system/restore_test.go
+++ b/internal/system/restore_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/freshness"
+	"github.com/comfreygate/comfreygate/internal/rollout"
+	"github.com/comfreygate/comfreygate/internal/table"
 )
 
 // TestOlderStoreDoesNotConfirmFreshness guards against keys that are let in past their bound: a
@@ -31,3 +33,56 @@
 	is.Equal(read(5, documentOf(5, 3)), seconds(5)) // written again
 	is.Equal(read(6, config.Document{}), seconds(6))
 }
+
+// restoredWorld returns the tables of a daemon that reads the store and holds version 5 of the
+// configuration, in the store's first epoch.
+func restoredWorld(at time.Time) *table.World {
+	w := documentWorld()
+	Tick(w, at, []Input{StoreEpoch{1}, DocumentRead{Document: documentOf(5, 3)}, QuarantineRead{Complete: true}})
+	return w
+}
+
+// restoreTime is the time after the store's return within which the system's own records must
+// be written again.
+const restoreTime = 2 * time.Second
+
+// ticksFor runs ticks for a time, the first of them with the inputs, and returns what they
+// request.
+func ticksFor(w *table.World, from time.Time, d time.Duration, inputs ...Input) []Outbox {
+	var outs []Outbox
+	for at := from; at.Before(from.Add(d)); at = at.Add(tickInterval) {
+		outs = append(outs, Tick(w, at, inputs))
+		inputs = nil
+	}
+	return outs
+}
+
+// TestRolloutIsWrittenAgainAfterARestore: a store that came back older has lost the last phases
+// of a rollout, and what operators read of it. Both are written again.
+func TestRolloutIsWrittenAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1100, 0)
+	w := restoredWorld(at)
+	order := rollout.Order{ID: 3, Service: "s", Target: "v2", Duration: 10 * time.Second}
+	completed := order.Begin(rollout.Record{}, at.Add(-10*time.Second)).WithPhase(rollout.Completed, "")
+	Tick(w, at, []Input{RolloutsRead{Records: []rollout.Record{completed}}, RolloutPublished{Record: completed}})
+	for _, out := range ticksFor(w, at, restoreTime) {
+		is.Equal(len(out.CommitRollouts)+len(out.PublishRollouts), 0)
+	}
+	at = at.Add(restoreTime)
+	committed := 0
+	for _, out := range ticksFor(w, at, restoreTime, StoreEpoch{2}) {
+		for _, r := range out.CommitRollouts {
+			is.Equal(r, completed)
+			committed++
+		}
+		is.Equal(len(out.PublishRollouts), 0) // not before the record is agreed on again
+	}
+	is.Equal(committed, 1)
+	at = at.Add(restoreTime)
+	published := 0
+	for _, out := range ticksFor(w, at, restoreTime, RolloutsRead{Records: []rollout.Record{completed}}) {
+		published += len(out.PublishRollouts)
+	}
+	is.Equal(published, 1)
+}
