Daemons publish their addresses again to a store that came back older

Looked for elsewhere, reported by nobody: a daemon whose address the store had lost published it again only after half a checkpoint interval, hours by default, so that daemons which started meanwhile did not find it. Each daemon that sees the later epoch publishes its address within a second, spread at random.

TestAddressIsPublishedAgainAfterARestore failed before (0 publications in 2 s). TestQuarantineIsWrittenAgainAfterARestore beside it passed already: the follower reads all records in a later epoch, and what they lack is written.

--- a/internal/system/restore.go
+++ b/internal/system/restore.go
@@ -11,7 +11,7 @@
 // receiveStoreEpoch handles an epoch that the store has named. A later epoch than the one known
 // means that the store has come back from an older copy of itself: what this system wrote last
 // is gone, and what this daemon still holds for true must be written again.
-func receiveStoreEpoch(w *table.World, e StoreEpoch, out *Outbox) {
+func receiveStoreEpoch(w *table.World, now time.Time, e StoreEpoch, out *Outbox) {
 	previous := w.Log.Epoch
 	if e.Epoch <= previous {
 		return
@@ -27,4 +27,11 @@
 	for _, r := range w.Rollouts {
 		r.Stored, r.Published, r.Due = false, false, time.Time{}
 	}
+	if w.Log.Listing == table.Listed {
+		w.Log.NextPublish = now.Add(time.Duration(w.Rand.Int64N(int64(republishSpread))))
+	}
 }
+
+// republishSpread is the time over which daemons spread the publication of their addresses
+// after a restore of the store.
+const republishSpread = time.Second
--- a/internal/system/restore_test.go
+++ b/internal/system/restore_test.go
@@ -9,6 +9,7 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/freshness"
 	"github.com/comfreygate/comfreygate/internal/rollout"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 )
 
@@ -86,3 +87,48 @@
 	}
 	is.Equal(published, 1)
 }
+
+// TestAddressIsPublishedAgainAfterARestore: a store that came back older may not list the
+// address of a daemon any more, so that daemons which start do not find it.
+func TestAddressIsPublishedAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1100, 0)
+	w := restoredWorld(at)
+	w.Params.Checkpoint = time.Hour
+	publications := func(from time.Time, inputs ...Input) int {
+		n := 0
+		for _, out := range ticksFor(w, from, restoreTime, inputs...) {
+			if out.PublishSelf {
+				n++
+			}
+		}
+		return n
+	}
+	publications(at, SelfListed{Listed: true})
+	is.Equal(publications(at.Add(restoreTime)), 0)
+	is.Equal(publications(at.Add(2*restoreTime), StoreEpoch{2}), 1)
+	is.Equal(publications(at.Add(3*restoreTime), StoreEpoch{2}), 0)
+	is.Equal(publications(at.Add(4*restoreTime), StoreEpoch{3}), 1) // a second time
+}
+
+// TestQuarantineIsWrittenAgainAfterARestore: a quarantined request that the store has lost is
+// not taken for one that is no longer quarantined.
+func TestQuarantineIsWrittenAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1100, 0)
+	w := restoredWorld(at)
+	for i := range suspect.QuarantineThreshold {
+		w.Suspects.RecordCrash(7, suspect.CrashID(i+1))
+	}
+	written := func(from time.Time, inputs ...Input) int {
+		n := 0
+		for _, out := range ticksFor(w, from, restoreTime-tickInterval, inputs...) {
+			n += len(out.StoreQuarantine)
+		}
+		return n
+	}
+	is.Equal(written(at), 1)
+	is.Equal(written(at.Add(restoreTime), QuarantineRead{Records: w.Suspects.Records()}), 0)
+	is.Equal(written(at.Add(2*restoreTime), StoreEpoch{2}, QuarantineRead{Complete: true}), 1)
+	is.Equal(w.Suspects.CrashCount(7), suspect.QuarantineThreshold)
+}
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -193,7 +193,7 @@
 	case Removed:
 		removeUpstream(w, now, v, out)
 	case StoreEpoch:
-		receiveStoreEpoch(w, v, out)
+		receiveStoreEpoch(w, now, v, out)
 	case SeedsFound:
 		addSeeds(w, now, v.Addrs)
 	case SelfListed:
