A command log that came back older is not read on

Looked for elsewhere, reported by nobody: the product's own log of commands is read by offset as well. One that was restored and has grown past the position held was read on from there, so that this daemon kept commands which are gone and lacked others, and daemons that started later held something else. In a later epoch of the store it counts as regressed now, as one that ends before the position held: alarm, and an operator reseeds it.

TestRestoredCommandLogIsNotReadOn failed before (version 4 applied on top of 3).

--- a/internal/system/log.go
+++ b/internal/system/log.go
@@ -59,12 +59,17 @@
 		w.Log.Regressed = true
 		raiseAlarm(w, AlarmRegressed, "the log ends before the position held: it was truncated or replaced", out)
 		scanForCheckpoint(w, now, r, adoptReseed, out)
+	case restoredSinceRead(w, b):
+		w.Log.Regressed = true
+		raiseAlarm(w, AlarmRegressed, "the log came back from an older copy: the position held may mean another record", out)
+		scanForCheckpoint(w, now, r, adoptReseed, out)
 	case b.First > s.Position:
 		scanForCheckpoint(w, now, r, adoptCheckpoint, out)
 	default:
 		w.Log.Scanning = false
 		applyEntries(w, now, b.Entries, out)
 	}
+	w.Log.ReadEpoch = b.Epoch
 	atEnd := w.Config.State.Position >= b.End
 	w.Log.CaughtUp = w.Log.CaughtUp || atEnd
 	if atEnd {
@@ -73,6 +78,12 @@
 	}
 }
 
+// restoredSinceRead reports whether the store came back from an older copy since this daemon
+// last read the configuration stream. What it holds may contain commands that the store lost.
+func restoredSinceRead(w *table.World, b store.Batch) bool {
+	return w.Log.ReadEpoch != 0 && b.Epoch > w.Log.ReadEpoch && w.Config.State.Position > 0
+}
+
 func updateLogStatus(w *table.World, err error, out *Outbox) {
 	up := err == nil
 	if up && !w.Log.Up {
--- a/internal/system/restore_test.go
+++ b/internal/system/restore_test.go
@@ -11,6 +11,8 @@
 	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
+	"github.com/comfreygate/comfreygate/internal/wire"
+	"github.com/comfreygate/comfreygate/platform/store"
 )
 
 // TestOlderStoreDoesNotConfirmFreshness guards against keys that are let in past their bound: a
@@ -132,3 +134,29 @@
 	is.Equal(written(at.Add(2*restoreTime), StoreEpoch{2}, QuarantineRead{Complete: true}), 1)
 	is.Equal(w.Suspects.CrashCount(7), suspect.QuarantineThreshold)
 }
+
+// TestRestoredCommandLogIsNotReadOn guards against daemons that apply different commands: a
+// log of commands that came back older and has grown past the position held has other records
+// there than the daemons that read on would expect.
+func TestRestoredCommandLogIsNotReadOn(t *testing.T) {
+	is := is.New(t)
+	w := table.New(wire.Member{ID: "vm", Domain: "d", Peer: "vm"}, testParams(), noSuspects(), time.Unix(1000, 0), 1)
+	at := time.Unix(1100, 0)
+	command := func(offset uint64, service string) store.Entry {
+		data, err := config.Record{Command: &config.Command{ID: service, Changes: []config.Change{{
+			Verb: config.Put, Ref: config.Ref{Kind: config.KindService, Name: service}, Service: &config.Service{Name: service},
+		}}}}.Encode()
+		is.NoErr(err)
+		return store.Entry{Offset: offset, Data: data}
+	}
+	read := func(epoch, from, end uint64, entries ...store.Entry) {
+		Tick(w, at, []Input{LogRead{From: from, Batch: store.Batch{End: end, Entries: entries, Epoch: epoch}}})
+	}
+	read(1, 0, 2, command(0, "a"), command(1, "b"))
+	read(1, 2, 3, command(2, "lost"))
+	is.Equal(w.Config.State.Version, uint64(3))
+	// The log came back with the first two commands and got two others.
+	read(2, 3, 4, command(3, "second"))
+	is.Equal(w.Config.State.Version, uint64(3))
+	is.True(w.Alarms[AlarmRegressed] != "")
+}
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -249,12 +249,15 @@
 // Log is this daemon's state of reading and writing the platform's log.
 type Log struct {
 	Up bool
-	// Regressed is set while the log ends before the position held: it was truncated or
-	// replaced.
+	// Regressed is set while the log ends before the position held, or has come back from an
+	// older copy: it was truncated, replaced or restored.
 	Regressed bool
 	// Epoch is the highest epoch of the store that was seen; zero: none yet. A later epoch
 	// begins when the store comes back from an older copy of itself.
 	Epoch uint64
+	// ReadEpoch is the epoch of the last read of the configuration stream; zero: there was
+	// none.
+	ReadEpoch uint64
 	// Behind is set while the store's newest configuration is older than the one held here:
 	// the store came back from an older copy, and the operator has not written it again yet.
 	Behind bool
