An order of a rollout after a restore of the store is carried out

Looked for elsewhere, reported by nobody: an order was known by its offset alone. A store that came back older gives offsets out again, so that an order at one that had been used was taken for old and never carried out. An order's ID contains the epoch of the store in which it was read now, above the offset. What a restored store still has in its copy, or gets again with the same contents as the rollout known, is no new order.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -24,6 +24,29 @@
 // maxName is the maximum length of the names in an order, in bytes.
 const maxName = 255
 
+// epochShift is the number of bits of an order's ID below the store's epoch.
+const epochShift = 40
+
+// OrderID returns the ID of an order that the store holds at an offset. Offsets are given out
+// again when the store is restored, so that an order of a later epoch is the later one.
+func OrderID(epoch, offset uint64) uint64 { return epoch<<epochShift | (offset + 1) }
+
+// epoch returns the store's epoch in which the order was read.
+func (o Order) epoch() uint64 { return o.ID >> epochShift }
+
+// SameAsBefore reports whether o was read in a later epoch of the store than known and asks for
+// the same: the store was restored, and the order is in its copy or was written again.
+func (o Order) SameAsBefore(known Order) bool {
+	return o.epoch() > known.epoch() && o.Service == known.Service && o.Target == known.Target && o.Duration == known.Duration
+}
+
+// CopyOf reports whether o is the order known, read in a later epoch at the same offset: it is
+// in the copy from which the store was restored.
+func (o Order) CopyOf(known Order) bool {
+	const offset = 1<<epochShift - 1
+	return o.SameAsBefore(known) && o.ID&offset == known.ID&offset
+}
+
 // Check returns an error if the order is invalid.
 func (o Order) Check() error {
 	switch {
--- a/internal/system/log.go
+++ b/internal/system/log.go
@@ -53,17 +53,14 @@
 	}
 	w.Log.ReadAfter = time.Time{}
 	b := r.Batch
-	s := w.Config.State
-	switch {
-	case w.Log.Regressed || b.End < s.Position:
-		w.Log.Regressed = true
-		raiseAlarm(w, AlarmRegressed, "the log ends before the position held: it was truncated or replaced", out)
-		scanForCheckpoint(w, now, r, adoptReseed, out)
-	case restoredSinceRead(w, b):
+	if reason := regression(w, b); reason != "" && !w.Log.Regressed {
 		w.Log.Regressed = true
-		raiseAlarm(w, AlarmRegressed, "the log came back from an older copy: the position held may mean another record", out)
+		raiseAlarm(w, AlarmRegressed, reason, out)
+	}
+	switch {
+	case w.Log.Regressed:
 		scanForCheckpoint(w, now, r, adoptReseed, out)
-	case b.First > s.Position:
+	case b.First > w.Config.State.Position:
 		scanForCheckpoint(w, now, r, adoptCheckpoint, out)
 	default:
 		w.Log.Scanning = false
@@ -78,10 +75,16 @@
 	}
 }
 
-// restoredSinceRead reports whether the store came back from an older copy since this daemon
-// last read the configuration stream. What it holds may contain commands that the store lost.
-func restoredSinceRead(w *table.World, b store.Batch) bool {
-	return w.Log.ReadEpoch != 0 && b.Epoch > w.Log.ReadEpoch && w.Config.State.Position > 0
+// regression returns the reason why the log does not continue what this daemon holds, or "":
+// the log lost commands that this daemon has applied, or may have.
+func regression(w *table.World, b store.Batch) string {
+	switch position := w.Config.State.Position; {
+	case b.End < position:
+		return "the log ends before the position held: it was truncated or replaced"
+	case position > 0 && w.Log.ReadEpoch > 0 && b.Epoch > w.Log.ReadEpoch:
+		return "the log came back from an older copy: the position held may mean another record"
+	}
+	return ""
 }
 
 func updateLogStatus(w *table.World, err error, out *Outbox) {
--- a/internal/system/restore_test.go
+++ b/internal/system/restore_test.go
@@ -160,3 +160,30 @@
 	is.Equal(w.Config.State.Version, uint64(3))
 	is.True(w.Alarms[AlarmRegressed] != "")
 }
+
+// TestOrderAfterARestoreIsCarriedOut guards against a rollout that is never begun: an order was
+// known by its offset alone, which a store that came back older gives out again. What such a
+// store still has, or gets again, is no new order.
+func TestOrderAfterARestoreIsCarriedOut(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1100, 0)
+	w := restoredWorld(at)
+	order := func(epoch, offset uint64, target string) rollout.Order {
+		return rollout.Order{ID: rollout.OrderID(epoch, offset), Service: "s", Target: target, Duration: 10 * time.Second}
+	}
+	read := func(orders ...rollout.Order) string {
+		at = at.Add(tickInterval)
+		Tick(w, at, []Input{OrdersRead{Orders: orders}})
+		return w.Rollouts["s"].Target
+	}
+	Tick(w, at, []Input{RolloutsRead{}})
+	is.Equal(read(order(1, 2, "v2")), "v2")
+	is.Equal(read(order(1, 8, "v3")), "v3")
+	before := w.Rollouts["s"].ID
+	Tick(w, at, []Input{StoreEpoch{2}})
+	is.Equal(read(order(2, 2, "v2")), "v3") // the store's copy
+	is.Equal(read(order(2, 4, "v3")), "v3") // written again
+	is.Equal(w.Rollouts["s"].ID, before)    // and not begun again
+	is.Equal(read(order(2, 5, "v4")), "v4") // a later order, at an offset given out again
+	is.Equal(read(order(2, 6, "v3")), "v3") // ordered once more
+}
--- a/internal/system/rollouts.go
+++ b/internal/system/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,7 +45,10 @@
 			out.event(event.Event{Kind: event.RolloutRefused, Service: order.Service, Detail: err.Error()})
 			continue
 		}
-		if r := w.Rollouts[order.Service]; r != nil && r.ID >= order.ID {
+		if r := w.Rollouts[order.Service]; r != nil && (r.ID >= order.ID || order.SameAsBefore(r.Order)) {
+			continue
+		}
+		if isPastOrder(w, order) {
 			continue
 		}
 		if w.Orders[order.Service].ID < order.ID {
@@ -53,6 +57,22 @@
 	}
 }
 
+// maxPastOrders bounds the orders of a service that are remembered.
+const maxPastOrders = 16
+
+// isPastOrder reports whether an order was read before, in an earlier epoch of the store: a
+// copy of the store still has it, although a later order followed. An order that was not read
+// before is remembered.
+func isPastOrder(w *table.World, order rollout.Order) bool {
+	past := w.PastOrders[order.Service]
+	if slices.ContainsFunc(past, order.CopyOf) {
+		return true
+	}
+	past = append(past, order)
+	w.PastOrders[order.Service] = past[max(0, len(past)-maxPastOrders):]
+	return false
+}
+
 // receiveStoredRollouts merges the rollout records read from the store.
 func receiveStoredRollouts(w *table.World, now time.Time, read RolloutsRead, out *Outbox) {
 	if read.Err != nil {
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -132,6 +132,8 @@
 	// Orders holds the orders that were read but whose rollouts have not begun yet, by
 	// service.
 	Orders map[string]rollout.Order
+	// PastOrders holds the last orders that were read, by service.
+	PastOrders map[string][]rollout.Order
 	// RolloutsRead is set once the store's records of rollouts have been read.
 	RolloutsRead bool
 	// NextTally is when the counts of calls during rollouts are next sent.
@@ -348,12 +350,13 @@
 		Quarantine: Quarantine{
 			Stored: map[suspect.Digest]suspect.Record{}, From: map[suspect.Digest]LinkID{},
 		},
-		Suspects:  suspects,
-		Rollouts:  map[string]*Rollout{},
-		Orders:    map[string]rollout.Order{},
-		Versions:  map[string]map[string]time.Time{},
-		Seeds:     p.Seeds,
-		NextProbe: now.Add(p.Probe),
-		ViewDirty: true,
+		Suspects:   suspects,
+		Rollouts:   map[string]*Rollout{},
+		Orders:     map[string]rollout.Order{},
+		PastOrders: map[string][]rollout.Order{},
+		Versions:   map[string]map[string]time.Time{},
+		Seeds:      p.Seeds,
+		NextProbe:  now.Add(p.Probe),
+		ViewDirty:  true,
 	}
 }
