--- a/internal/callpath/dialect.go
+++ b/internal/callpath/dialect.go
@@ -130,6 +130,9 @@
 	return outcome.Result{}, false
 }
 
+// unnamed reports whether a response lacks the request ID that upstreams repeat.
+func (d Dialect) unnamed(h http.Header) bool { return d.EchoesRequestID && h.Get(d.Request) == "" }
+
 // foreign reports whether a response belongs to another request.
 func (d Dialect) foreign(req *http.Request, res *http.Response) bool {
 	if !d.EchoesRequestID {
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -127,9 +127,10 @@
 	if err != nil {
 		return o.failed(ctx, loc, a, began, err)
 	}
-	o.observeRateLimit(loc, a, res.Header, began)
+	r, refused := o.cfg.Dialect.refusal(res)
+	o.observeRateLimit(loc, a, res.Header, began, refused)
 	draining := o.observeDraining(loc, a, res.Header)
-	if r, refused := o.cfg.Dialect.refusal(res); refused {
+	if refused {
 		// Nobody uses the body of an upstream's refusal.
 		res.Body.Close()
 		return o.withLoad(o.refuseAdmitted(loc, a, r), loc)
--- a/internal/callpath/statedlimit.go
+++ b/internal/callpath/statedlimit.go
@@ -80,12 +80,17 @@
 }
 
 // observeRateLimit records the rate limit that the upstream states in its response to the
-// attempt, which was sent at sentAt.
-func (o *Owner) observeRateLimit(loc *localUpstream, a *Attempt, h http.Header, sentAt time.Time) {
+// attempt, which was sent at sentAt. Only an answer from the upstream itself can say that there
+// is no limit any more: a refusal, or a response that does not name the request, may come from
+// a part of the upstream that knows of none.
+func (o *Owner) observeRateLimit(loc *localUpstream, a *Attempt, h http.Header, sentAt time.Time, refused bool) {
 	if o.cfg.Dialect.RateLimit == nil {
 		return
 	}
 	perSecond, ok := o.cfg.Dialect.RateLimit(h)
+	if perSecond == admission.Unlimited && (refused || o.cfg.Dialect.unnamed(h)) {
+		return
+	}
 	if !ok {
 		o.logRateLimit(o.cfg.Logger.Warn(), a, loc.limit.current(), "upstream stated a malformed rate limit; the previous one stays in force")
 		return
--- a/internal/callpath/statedlimit_test.go
+++ b/internal/callpath/statedlimit_test.go
@@ -1,6 +1,7 @@
 package callpath
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -66,3 +67,23 @@
 	is.Equal(update(8).gate.Rate(), 30.0)
 	is.Equal(update(12).gate.Rate(), 30.0)
 }
+
+// TestOnlyAnAnswerLiftsARateLimit: a refusal, and a response that does not name its request,
+// lift no limit. A limit that they state counts.
+func TestOnlyAnAnswerLiftsARateLimit(t *testing.T) {
+	is := is.New(t)
+	w := newWorker(t, "w", 4, 0, event.NewRing("vm", event.NewClock(time.Now), 16), NewMetrics(metrics.NewRegistry()))
+	w.owner.cfg.Dialect.EchoesRequestID = true
+	w.owner.Update(&view.View{Locals: []table.Local{{Upstream: wire.Upstream{ID: "w", Service: "s", Slots: 4}, Addr: "127.0.0.1:1", Conns: 8}}})
+	loc, a := w.owner.upstreams["w"], &Attempt{Upstream: "w", Request: "r"}
+	rateAfter := func(h http.Header, refused bool) float64 {
+		w.owner.observeRateLimit(loc, a, h, time.Now(), refused)
+		return loc.gate.Rate()
+	}
+	named := http.Header{HeaderRequest: {"r"}}
+	is.Equal(rateAfter(http.Header{HeaderRateLimit: {"20"}}, true), 20.0)
+	is.Equal(rateAfter(named, true), 20.0)
+	is.Equal(rateAfter(http.Header{}, false), 20.0)
+	is.Equal(rateAfter(http.Header{HeaderRequest: {"r"}, HeaderRateLimit: {"many"}}, false), 20.0)
+	is.Equal(rateAfter(named, false), 0.0)
+}
