Histories in which the store comes back older, in virtual time

Whole sets of daemons, with crashes, losses of power, freezes and cuts beside restores, twice in a row at times; the operator writes again all that is lost or only the newest. No running daemon goes back, each version is in force in time once it is written again.

--- a/internal/system/documents_test.go
+++ b/internal/system/documents_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,38 @@
 	noWakeups bool
 	// lastDisturbed is when the store last failed to serve any daemon.
 	lastDisturbed time.Time
+	// records are the numbers of the documents in the store's log, in order of offset.
+	records []int
+	// epoch increases with each restore. lost are the documents that the last one took away
+	// and the operator has not written again yet.
+	epoch int
+	lost  []acceptedDocument
+}
+
+// write appends the document that was accepted last to the store's log.
+func (s *documentStore) write() { s.records = append(s.records, len(s.accepted)-1) }
+
+// restore makes the store come back from a copy that lacks the last n records.
+func (s *documentStore) restore(now time.Time, n int) {
+	s.records = slices.Clone(s.records[:max(1, len(s.records)-n)])
+	kept := slices.Max(s.records) + 1
+	s.lost = append(slices.Clone(s.accepted[kept:]), s.lost...)
+	s.accepted = s.accepted[:kept:kept]
+	s.epoch++
+	s.lastDisturbed = now
+}
+
+// writeAgain makes the operator write what the store has lost: all of it, or only the newest
+// document.
+func (s *documentStore) writeAgain(now time.Time, all bool) {
+	for i, d := range s.lost {
+		d.at = now
+		s.accepted = append(s.accepted, d)
+		if all || i == len(s.lost)-1 {
+			s.write()
+		}
+	}
+	s.lost = nil
 }
 
 type acceptedDocument struct {
@@ -31,8 +64,10 @@
 // documentRead is the state of a daemon's reads, of which at most one runs at a time.
 type documentRead struct {
 	incarnation int
-	// delivered is how many documents were accepted when the daemon last got one.
+	// delivered is how many records the store had when the daemon last got a document, in this
+	// epoch of the store.
 	delivered int
+	epoch     int
 	// started is when the running read began, or zero; startedBoot is the boot time at
 	// that moment.
 	started     time.Time
@@ -57,6 +92,10 @@
 		r = &documentRead{incarnation: node.incarnation}
 		s.reads[node] = r
 	}
+	if r.epoch != s.epoch {
+		r.epoch, r.delivered, r.missedWakeup = s.epoch, 0, false
+		node.inputs = append(node.inputs, StoreEpoch{uint64(s.epoch)})
+	}
 	if r.started.IsZero() {
 		if out.ReadLog && !n.now.Before(r.notBefore) {
 			r.started, r.startedBoot = n.now, n.bootTime(node)
@@ -72,9 +111,9 @@
 		}
 		answer.Err = errors.New("store did not answer")
 		r.notBefore = n.now.Add(readRetryDelay)
-	case r.delivered < len(s.accepted) && (!r.missedWakeup || waited >= out.ReadWait):
-		r.delivered = len(s.accepted)
-		answer.Document = s.accepted[r.delivered-1].doc()
+	case r.delivered < len(s.records) && (!r.missedWakeup || waited >= out.ReadWait):
+		r.delivered = len(s.records)
+		answer.Document = s.accepted[s.records[r.delivered-1]].doc()
 	case waited < out.ReadWait:
 		return
 	}
@@ -109,6 +148,7 @@
 // accept adds a version to the store. A flawed version has a route with two shares: one that
 // has all the weight, and one of weight 0 for a service that is not listed.
 func (d *documentNet) accept(flawed bool) {
+	d.documents.writeAgain(d.now, true)
 	version := uint64(10 * (len(d.documents.accepted) + 1))
 	d.documents.accepted = append(d.documents.accepted, acceptedDocument{at: d.now, doc: func() config.Document {
 		doc := documentOf(version, 3+int(version/10)%5)
@@ -120,6 +160,7 @@
 		}
 		return doc
 	}})
+	d.documents.write()
 	for _, r := range d.documents.reads {
 		r.missedWakeup = r.missedWakeup || d.documents.noWakeups
 	}
@@ -250,3 +291,84 @@
 		d.runAndCheck(2 * settleTime)
 	})
 }
+
+// TestDocumentsAreInForceBesideStoreRestores generates histories in which the store comes back
+// older, at times twice in a row, beside daemons that crash, freeze and are partitioned. The
+// operator writes again what is lost, at once or some time later. No running daemon goes back
+// to an older version, and each version is in force in time once it is written again.
+func TestDocumentsAreInForceBesideStoreRestores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := newDocumentNet(rt.Fatalf, 3, rapid.IntRange(2, 5).Draw(rt, "daemons"))
+		d.documents.epoch = 1
+		d.accept(false)
+		d.runAndCheck(6 * time.Second)
+		held := map[*testNode]heldVersion{}
+		run := func(length time.Duration) {
+			for end := d.now.Add(length); d.now.Before(end); {
+				d.runAndCheck(tickInterval)
+				d.checkNotBack(held)
+			}
+		}
+		for range rapid.IntRange(3, 20).Draw(rt, "ops") {
+			node := d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(rt, "node")]
+			switch rapid.SampledFrom([]string{"accept", "accept", "restore", "restore", "again", "kill", "blackout", "start", "pause", "wake", "cut", "heal", "store", "calm"}).Draw(rt, "op") {
+			case "accept":
+				d.accept(rapid.Bool().Draw(rt, "odd"))
+			case "restore":
+				d.documents.restore(d.now, rapid.IntRange(1, 4).Draw(rt, "lost"))
+			case "again":
+				d.documents.writeAgain(d.now, rapid.Bool().Draw(rt, "all"))
+			case "kill":
+				if node.alive {
+					d.kill(node)
+				}
+			case "blackout":
+				for _, other := range d.nodes {
+					if other != node && other.domain == node.domain {
+						d.powerOff(other)
+					}
+				}
+			case "start":
+				if !node.alive {
+					d.start(node)
+				}
+			case "pause":
+				node.paused = true
+			case "wake":
+				node.paused = false
+			case "cut":
+				d.partitions[domainPair(node, d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(rt, "other")])] = true
+			case "heal":
+				d.partitions = map[string]bool{}
+			case "store":
+				d.storeUnreachable[node.domain] = true
+			case "calm":
+				d.storeUnreachable = map[string]bool{}
+			}
+			run(time.Duration(rapid.IntRange(0, 60).Draw(rt, "wait")) * 5 * tickInterval)
+		}
+		d.documents.writeAgain(d.now, false)
+		d.partitions, d.storeUnreachable = map[string]bool{}, map[string]bool{}
+		run(2 * settleTime)
+	})
+}
+
+// heldVersion is the version that a run of a daemon held.
+type heldVersion struct {
+	incarnation int
+	version     uint64
+}
+
+// checkNotBack checks that no run of a daemon holds an older version than before.
+func (d *documentNet) checkNotBack(held map[*testNode]heldVersion) {
+	for _, node := range d.nodes {
+		if !node.alive {
+			continue
+		}
+		now := heldVersion{node.incarnation, node.w.Config.State.Version}
+		if before := held[node]; before.incarnation == now.incarnation && before.version > now.version {
+			d.fatalf("%s went back from version %d to %d", node.id, before.version, now.version)
+		}
+		held[node] = now
+	}
+}
