--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -6,7 +6,6 @@
 import (
 	"container/heap"
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -183,15 +182,6 @@
 	return w, "", 0
 }
 
-// capacityReason returns the reason for which an attempt that may not wait is refused: the
-// upstream has no free slot, or its rate limit is used up.
-func (g *Gate) capacityReason() outcome.Reason {
-	if g.inFlight < g.limit() && g.rate.limited() {
-		return outcome.ReasonUpstreamLimit
-	}
-	return outcome.ReasonOverload
-}
-
 // newWaiter returns a waiter for an attempt, with its rank.
 func (g *Gate) newWaiter(a Request) *Waiter {
 	return &Waiter{
@@ -199,64 +189,6 @@
 	}
 }
 
-// shortageThreshold is the recently served fraction of an upstream's calls below which it
-// is short of slots: above it, few calls are refused and their order makes no difference.
-const shortageThreshold = 0.97
-
-// hasPriority reports whether a nested call goes before all direct calls, whatever their
-// urgency: if its parent's upstream is short of slots, and serves a smaller fraction of
-// its calls than this one. If the nested call is refused, its parent's run is wasted, and
-// with it a slot at the parent's upstream. Where slots are scarcer there, that costs more
-// than a slot here; otherwise priority would only take a slot here from calls that may be
-// more urgent.
-func (g *Gate) hasPriority(a Request) bool {
-	return a.Nested && a.ParentServedFraction < shortageThreshold && a.ParentServedFraction < g.direct.fraction(g.now())
-}
-
-// mayQueue reports whether an attempt may wait: it would be admitted in time, and there
-// is a place in the queue, or a waiter of lower rank that can be displaced.
-func (g *Gate) mayQueue(w *Waiter) bool {
-	if g.expectedWait(w) > g.maxWait(w.Request) {
-		return false
-	}
-	if len(g.queue) < g.maxQueue {
-		return true
-	}
-	last := g.queue.last()
-	return last != nil && w.before(last)
-}
-
-// minWaitFraction is the wait that is always allowed, as a fraction of the service time,
-// even if the answer then comes late: without any queue, slots would be idle between one
-// attempt and the next.
-const minWaitFraction = 0.25
-
-// maxWaitFraction is the fraction of the time left for waiting that the expected wait may
-// take: under overload the queue is always as long as allowed, and actual waits vary to
-// both sides of the expected one.
-const maxWaitFraction = 0.6
-
-// maxWait returns how long an attempt may wait for a slot: as long as its answer can
-// still come within its objective. A longer queue would not serve more calls but make all
-// of them late.
-//
-// Nested calls without priority may wait for the fraction of that time that their
-// WaitFraction says. A run that makes several calls fails if one of them is refused, and the
-// work of the others is wasted; since all of them have the same WaitFraction, they are
-// refused together or not at all.
-func (g *Gate) maxWait(a Request) time.Duration {
-	now := g.now()
-	untilDeadline := a.Deadline.Sub(now)
-	if a.Objective.IsZero() {
-		return untilDeadline
-	}
-	allowed := max(maxWaitFraction*float64(a.Objective.Sub(now)-g.meanService), minWaitFraction*float64(g.meanService))
-	if a.Nested && !g.hasPriority(a) {
-		allowed *= a.WaitFraction
-	}
-	return min(untilDeadline, time.Duration(allowed))
-}
-
 // Check returns the reason for which an attempt would be refused if it arrived now. An
 // empty reason means that it would be admitted, or wait.
 func (g *Gate) Check(a Request) (outcome.Reason, time.Duration) {
@@ -273,35 +205,6 @@
 	return "", 0
 }
 
-// expectedWait estimates how long an attempt would wait to be admitted.
-func (g *Gate) expectedWait(w *Waiter) time.Duration {
-	ahead := 1
-	for _, q := range g.queue {
-		if q.before(w) {
-			ahead++
-		}
-	}
-	return g.waitFor(ahead)
-}
-
-// waitFor estimates the time until the next n attempts will have been admitted.
-func (g *Gate) waitFor(n int) time.Duration {
-	forSlots := g.meanService * time.Duration(n) / time.Duration(max(1, g.limit()))
-	return max(forSlots, g.rate.wait(g.now(), n))
-}
-
-// RetryAfter is the time until the attempts that are queued now will have been admitted.
-func (g *Gate) RetryAfter() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.retryAfter()
-}
-
-// retryAfter is RetryAfter for callers that hold the mutex.
-func (g *Gate) retryAfter() time.Duration {
-	return min(max(g.waitFor(len(g.queue)+1), outcome.MinRetryAfter), outcome.MaxRetryAfter)
-}
-
 // Release returns a slot after the attempt ran for the given time, and admits the next
 // one. If took is zero, the attempt does not count in the mean service time.
 func (g *Gate) Release(took time.Duration) {
@@ -395,53 +298,3 @@
 	w.refused = reason
 	close(w.decided)
 }
-
-// Load returns the upstream's load, as reported to the daemons that send calls to it.
-func (g *Gate) Load() outcome.Load {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return outcome.Load{InFlight: g.inFlight, Queued: len(g.queue), Slots: g.usableSlots(), Service: g.meanService}
-}
-
-// usableSlots returns how many slots can be busy on average: no more than the rate limit
-// keeps busy.
-func (g *Gate) usableSlots() int {
-	if !g.rate.limited() {
-		return g.limit()
-	}
-	return min(g.limit(), max(1, int(math.Round(g.rate.perSecond*g.meanService.Seconds()))))
-}
-
-// RecordRunning records how many attempts the upstream reports that it is running. It is
-// called for an answer whose attempt still counts as in flight.
-func (g *Gate) RecordRunning(running int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.lost.record(g.now(), g.inFlight-1-running)
-	g.admitWaiting()
-}
-
-// recordDirect counts a decision on a direct call. Nested calls do not count, since whether
-// they are served follows from their rank.
-func (g *Gate) recordDirect(a Request, admitted bool) {
-	if !a.Nested {
-		g.direct.record(g.now(), admitted)
-	}
-}
-
-// ServedFraction returns the recently served fraction of the direct calls.
-func (g *Gate) ServedFraction() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.direct.fraction(g.now())
-}
-
-// LoadAfter returns the load including the service time of an attempt that is not
-// released yet, so that the answer which carries the load reflects its own attempt.
-func (g *Gate) LoadAfter(took time.Duration) outcome.Load {
-	l := g.Load()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l.Service = g.updatedMeanService(took)
-	return l
-}
--- /dev/null
+++ b/internal/admission/wait.go
@@ -0,0 +1,103 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/comfreygate/comfreygate/internal/outcome"
+)
+
+// capacityReason returns the reason for which an attempt that may not wait is refused: the
+// upstream has no free slot, or its rate limit is used up.
+func (g *Gate) capacityReason() outcome.Reason {
+	if g.inFlight < g.limit() && g.rate.limited() {
+		return outcome.ReasonUpstreamLimit
+	}
+	return outcome.ReasonOverload
+}
+
+// shortageThreshold is the recently served fraction of an upstream's calls below which it
+// is short of slots: above it, few calls are refused and their order makes no difference.
+const shortageThreshold = 0.97
+
+// hasPriority reports whether a nested call goes before all direct calls, whatever their
+// urgency: if its parent's upstream is short of slots, and serves a smaller fraction of
+// its calls than this one. If the nested call is refused, its parent's run is wasted, and
+// with it a slot at the parent's upstream. Where slots are scarcer there, that costs more
+// than a slot here; otherwise priority would only take a slot here from calls that may be
+// more urgent.
+func (g *Gate) hasPriority(a Request) bool {
+	return a.Nested && a.ParentServedFraction < shortageThreshold && a.ParentServedFraction < g.direct.fraction(g.now())
+}
+
+// mayQueue reports whether an attempt may wait: it would be admitted in time, and there
+// is a place in the queue, or a waiter of lower rank that can be displaced.
+func (g *Gate) mayQueue(w *Waiter) bool {
+	if g.expectedWait(w) > g.maxWait(w.Request) {
+		return false
+	}
+	if len(g.queue) < g.maxQueue {
+		return true
+	}
+	last := g.queue.last()
+	return last != nil && w.before(last)
+}
+
+// minWaitFraction is the wait that is always allowed, as a fraction of the service time,
+// even if the answer then comes late: without any queue, slots would be idle between one
+// attempt and the next.
+const minWaitFraction = 0.25
+
+// maxWaitFraction is the fraction of the time left for waiting that the expected wait may
+// take: under overload the queue is always as long as allowed, and actual waits vary to
+// both sides of the expected one.
+const maxWaitFraction = 0.6
+
+// maxWait returns how long an attempt may wait for a slot: as long as its answer can
+// still come within its objective. A longer queue would not serve more calls but make all
+// of them late.
+//
+// Nested calls without priority may wait for the fraction of that time that their
+// WaitFraction says. A run that makes several calls fails if one of them is refused, and the
+// work of the others is wasted; since all of them have the same WaitFraction, they are
+// refused together or not at all.
+func (g *Gate) maxWait(a Request) time.Duration {
+	now := g.now()
+	untilDeadline := a.Deadline.Sub(now)
+	if a.Objective.IsZero() {
+		return untilDeadline
+	}
+	allowed := max(maxWaitFraction*float64(a.Objective.Sub(now)-g.meanService), minWaitFraction*float64(g.meanService))
+	if a.Nested && !g.hasPriority(a) {
+		allowed *= a.WaitFraction
+	}
+	return min(untilDeadline, time.Duration(allowed))
+}
+
+// expectedWait estimates how long an attempt would wait to be admitted.
+func (g *Gate) expectedWait(w *Waiter) time.Duration {
+	ahead := 1
+	for _, q := range g.queue {
+		if q.before(w) {
+			ahead++
+		}
+	}
+	return g.waitFor(ahead)
+}
+
+// waitFor estimates the time until the next n attempts will have been admitted.
+func (g *Gate) waitFor(n int) time.Duration {
+	forSlots := g.meanService * time.Duration(n) / time.Duration(max(1, g.limit()))
+	return max(forSlots, g.rate.wait(g.now(), n))
+}
+
+// RetryAfter is the time until the attempts that are queued now will have been admitted.
+func (g *Gate) RetryAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.retryAfter()
+}
+
+// retryAfter is RetryAfter for callers that hold the mutex.
+func (g *Gate) retryAfter() time.Duration {
+	return min(max(g.waitFor(len(g.queue)+1), outcome.MinRetryAfter), outcome.MaxRetryAfter)
+}
--- /dev/null
+++ b/internal/callpath/ingressrun.go
@@ -0,0 +1,174 @@
+package callpath
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/pick"
+	"github.com/comfreygate/comfreygate/internal/view"
+)
+
+// run tries upstreams until one answers, none is left, the outcome is unknown and the
+// call must not be repeated, or the retry policy, the retry budget or the time is
+// exhausted.
+func (in *Ingress) run(ctx context.Context, c *call) outcome.Result {
+	in.retryBudget.earn(c.service.Name)
+	in.refusalBudget.earn(c.service.Name)
+	in.failureBudget.earn(c.service.Name)
+	if c.attempt.Repeated {
+		in.retryBudget.charge(c.service.Name)
+	}
+	var t callAttempts
+	for {
+		if !in.cfg.Now().Before(c.attempt.Deadline) {
+			return in.outOfTime(t)
+		}
+		if refusal, isQuarantined := quarantined(in.cfg.Suspects, &c.attempt, in.cfg.Now()); isQuarantined {
+			in.cfg.Metrics.Quarantined.Inc(1)
+			return t.exhausted(refusal)
+		}
+		u, refusal, ok := in.next(c, t.upstreams)
+		if !ok {
+			return t.exhausted(refusal)
+		}
+		c.attempt.Repeated = c.attempt.Repeated || t.reached > 0
+		t.add(u, in.try(ctx, c, u))
+		if ctx.Err() != nil || in.callsCtx.Err() != nil || !in.mayRetry(c, &t) {
+			return t.best()
+		}
+		in.cfg.Metrics.Retries.Inc(1)
+		in.cfg.Events.Add(event.Event{
+			Kind: event.CallRetried, Request: c.attempt.Request, Service: c.service.Name,
+			Peer: u.ID, Detail: string(t.last.Reason),
+		})
+		in.logRetry(c, u, t.last)
+	}
+}
+
+// outOfTime returns the result of a call whose deadline passed between two attempts.
+func (in *Ingress) outOfTime(t callAttempts) outcome.Result {
+	if len(t.upstreams) > 0 && t.best().Outcome != outcome.NotRun {
+		return t.best()
+	}
+	return outcome.Refuse(outcome.ReasonDeadline, outcome.MinRetryAfter)
+}
+
+// next returns the upstream for the next attempt. A call with an idempotency key goes to
+// the upstream that the hash of the key selects, whichever daemon it enters at, so that
+// the owner of that upstream sees every copy.
+func (in *Ingress) next(c *call, tried []string) (view.Upstream, outcome.Result, bool) {
+	if c.attempt.IdempotencyKey == "" {
+		criteria := in.criteria(c, tried)
+		if crashCount(in.cfg.Suspects, &c.attempt) > 0 {
+			criteria.AffinityKey = c.attempt.digest().String()
+		}
+		return in.pick(c, criteria)
+	}
+	if len(tried) > 0 {
+		// The owner of another upstream would not know of the copies sent to the first.
+		return view.Upstream{}, outcome.Refuse(outcome.ReasonOverload, outcome.MinRetryAfter), false
+	}
+	target := pick.Rendezvous(c.service.Upstreams, c.attempt.Caller+"\x00"+c.attempt.IdempotencyKey)
+	if target == nil {
+		return view.Upstream{}, outcome.Refuse(outcome.ReasonNoUpstream, pick.DefaultRetryAfter), false
+	}
+	only := &view.Service{Service: c.service.Service, Upstreams: []view.Upstream{*target}}
+	return in.picker.Pick(only, in.criteria(c, nil))
+}
+
+// pick selects an upstream from the part of the service that this call goes to during a
+// rollout. Only a first attempt may go to the new version, so that a call fails because
+// of it at most once.
+func (in *Ingress) pick(c *call, criteria pick.Criteria) (view.Upstream, outcome.Result, bool) {
+	split := c.service.Split
+	if split == nil {
+		return in.picker.Pick(c.service, criteria)
+	}
+	now := in.cfg.Now()
+	if len(criteria.Tried) == 0 {
+		if trial := split.Trial(now); trial != nil {
+			if u, refusal, ok := in.picker.Pick(trial, criteria); ok {
+				return u, refusal, ok
+			}
+		}
+	}
+	u, refusal, ok := in.picker.Pick(c.service, criteria)
+	if fallback := split.Fallback(now); !ok && fallback != nil {
+		return in.picker.Pick(fallback, criteria)
+	}
+	return u, refusal, ok
+}
+
+// recordForRollout counts an attempt as evidence for or against a version that is being
+// rolled out.
+func (in *Ingress) recordForRollout(c *call, u view.Upstream, r outcome.Result) {
+	if split := c.service.Split; split != nil && r.Ran() {
+		split.Note(in.cfg.Now(), view.CallResult{
+			Route: c.route.Name, Upstream: u, Failed: r.Outcome != outcome.Answered || upstreamFailed(r), Took: r.Took,
+		})
+	}
+}
+
+// bytesPerMB converts CrossDomainCost from megabytes to bytes.
+const bytesPerMB = 1e6
+
+// defaultObjectiveDivisor divides a policy's timeout to give the objective of a policy
+// that sets none.
+const defaultObjectiveDivisor = 4
+
+// criteria returns what the attempt requires of an upstream, estimated from recent calls
+// of its route. It also sets the attempt's TypicalLatency.
+func (in *Ingress) criteria(c *call, tried []string) pick.Criteria {
+	objective := c.route.Policy.Objective
+	if objective == 0 {
+		objective = c.route.Policy.Timeout / defaultObjectiveDivisor
+	}
+	criteria := pick.Criteria{Urgency: c.attempt.Urgency, Objective: objective, Body: len(c.attempt.Body), Tried: tried}
+	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
+	c.attempt.TypicalLatency = criteria.TypicalLatency
+	return criteria
+}
+
+// try makes one attempt at the upstream.
+func (in *Ingress) try(ctx context.Context, c *call, u view.Upstream) outcome.Result {
+	a := c.attempt
+	a.ID = fmt.Sprintf("%s-%d", in.incarnationID, in.attempts.Add(1))
+	a.Upstream = u.ID
+	a.Incarnation = u.Incarnation
+	a.RateLimit = in.picker.RateLimit(u.ID)
+	began := in.cfg.Now()
+	var r outcome.Result
+	if u.Local {
+		ctx = c.localCtx
+		r = in.owner.execute(ctx, &a)
+	} else {
+		r = in.remote.send(ctx, u, &a)
+	}
+	if r.Outcome == outcome.Answered {
+		var size int
+		r, size = bufferAnswer(ctx, r)
+		if r.Outcome == outcome.Answered {
+			in.picker.RecordAnswer(c.route.Name, size, in.cfg.Now().Sub(began))
+		}
+	}
+	in.recordForRollout(c, u, r)
+	in.picker.Observe(u, a.Urgency, r)
+	if r.Draining && in.picker.SetDraining(u) {
+		logDraining(in.cfg.Logger, a.Upstream, a.Request)
+	}
+	if r.Outcome == outcome.Answered {
+		r.Body = &answerBody{ReadCloser: r.Body, onClose: func() { in.picker.Finished(u) }}
+	} else {
+		in.picker.Finished(u)
+	}
+	if r.OwnerDown {
+		in.markOwnerDown(u)
+	}
+	if r.Err != nil {
+		in.cfg.Logger.Debug().Str("step", "attempt").Str("peer", u.Daemon).Str("request", a.Request).
+			Str("outcome", string(r.Outcome)).Err(r.Err).Msg("attempt failed")
+	}
+	return r
+}
