--- a/internal/system/documents_test.go
+++ b/internal/system/documents_test.go
@@ -244,7 +244,8 @@
 		d.runAndCheck(6 * time.Second)
 		for range rapid.IntRange(3, 25).Draw(rt, "ops") {
 			node := d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(rt, "node")]
-			switch rapid.SampledFrom([]string{"accept", "accept", "odd", "storm", "kill", "lose", "blackout", "start", "pause", "wake", "cut", "heal", "store", "deaf", "calm"}).Draw(rt, "op") {
+			op := rapid.SampledFrom([]string{"accept", "accept", "odd", "storm", "kill", "lose", "blackout", "start", "pause", "wake", "cut", "heal", "store", "deaf", "calm"}).Draw(rt, "op")
+			switch op {
 			case "accept":
 				d.accept(false)
 			case "odd":
@@ -254,36 +255,8 @@
 					d.accept(rapid.Bool().Draw(rt, "odd"))
 					d.runAndCheck(5 * tickInterval)
 				}
-			case "kill":
-				if node.alive {
-					d.kill(node)
-				}
-			case "lose":
-				d.powerOff(node)
-			case "blackout":
-				for _, other := range d.nodes {
-					if other != node && other.domain == node.domain {
-						d.powerOff(other)
-					}
-				}
-			case "start":
-				if !node.alive {
-					d.start(node)
-				}
-			case "pause":
-				node.paused = true
-			case "wake":
-				node.paused = false
-			case "cut":
-				d.partitions[domainPair(node, d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(rt, "other")])] = true
-			case "heal":
-				d.partitions = map[string]bool{}
-			case "store":
-				d.storeUnreachable[node.domain] = true
-			case "deaf":
-				d.documents.noWakeups = true
-			case "calm":
-				d.storeUnreachable, d.documents.noWakeups = map[string]bool{}, false
+			default:
+				d.disturb(rt, op, node)
 			}
 			d.runAndCheck(time.Duration(rapid.IntRange(0, 60).Draw(rt, "wait")) * 5 * tickInterval)
 		}
@@ -311,39 +284,16 @@
 		}
 		for range rapid.IntRange(3, 20).Draw(rt, "ops") {
 			node := d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(rt, "node")]
-			switch rapid.SampledFrom([]string{"accept", "accept", "restore", "restore", "again", "kill", "blackout", "start", "pause", "wake", "cut", "heal", "store", "calm"}).Draw(rt, "op") {
+			op := rapid.SampledFrom([]string{"accept", "accept", "restore", "restore", "again", "kill", "blackout", "start", "pause", "wake", "cut", "heal", "store", "calm"}).Draw(rt, "op")
+			switch op {
 			case "accept":
 				d.accept(rapid.Bool().Draw(rt, "odd"))
 			case "restore":
 				d.documents.restore(d.now, rapid.IntRange(1, 4).Draw(rt, "lost"))
 			case "again":
 				d.documents.writeAgain(d.now, rapid.Bool().Draw(rt, "all"))
-			case "kill":
-				if node.alive {
-					d.kill(node)
-				}
-			case "blackout":
-				for _, other := range d.nodes {
-					if other != node && other.domain == node.domain {
-						d.powerOff(other)
-					}
-				}
-			case "start":
-				if !node.alive {
-					d.start(node)
-				}
-			case "pause":
-				node.paused = true
-			case "wake":
-				node.paused = false
-			case "cut":
-				d.partitions[domainPair(node, d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(rt, "other")])] = true
-			case "heal":
-				d.partitions = map[string]bool{}
-			case "store":
-				d.storeUnreachable[node.domain] = true
-			case "calm":
-				d.storeUnreachable = map[string]bool{}
+			default:
+				d.disturb(rt, op, node)
 			}
 			run(time.Duration(rapid.IntRange(0, 60).Draw(rt, "wait")) * 5 * tickInterval)
 		}
@@ -353,6 +303,43 @@
 	})
 }
 
+// disturb applies an operation of a generated history to a daemon, to the network or to the way
+// to the store.
+func (d *documentNet) disturb(rt *rapid.T, op string, node *testNode) {
+	switch op {
+	case "kill":
+		if node.alive {
+			d.kill(node)
+		}
+	case "lose":
+		d.powerOff(node)
+	case "blackout":
+		for _, other := range d.nodes {
+			if other != node && other.domain == node.domain {
+				d.powerOff(other)
+			}
+		}
+	case "start":
+		if !node.alive {
+			d.start(node)
+		}
+	case "pause":
+		node.paused = true
+	case "wake":
+		node.paused = false
+	case "cut":
+		d.partitions[domainPair(node, d.nodes[rapid.IntRange(0, len(d.nodes)-1).Draw(rt, "other")])] = true
+	case "heal":
+		d.partitions = map[string]bool{}
+	case "store":
+		d.storeUnreachable[node.domain] = true
+	case "deaf":
+		d.documents.noWakeups = true
+	case "calm":
+		d.storeUnreachable, d.documents.noWakeups = map[string]bool{}, false
+	}
+}
+
 // heldVersion is the version that a run of a daemon held.
 type heldVersion struct {
 	incarnation int
