--- a/internal/devlog/http.go
+++ b/internal/devlog/http.go
@@ -26,7 +26,7 @@
 	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { l.Restore() })
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, l.Counts()) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(store.EpochHeader, strconv.FormatUint(l.Epoch(), 10))
+		w.Header().Set(store.EpochHeader, store.EncodeEpoch(l.Epoch()))
 		mux.ServeHTTP(w, r)
 	})
 }
