--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -24,11 +24,11 @@
 )
 
 // Gate admits attempts to one upstream: at most as many at once as it has slots, and as many
-// per second as its rate limit allows, plus a short queue. In the queue, nested calls whose parent upstream is shorter of slots than
-// this one go first, then the more urgent attempts, then flows take turns, then the first
-// to arrive. The queue is not ordered by deadline: calls with short deadlines would then
-// starve calls of equal urgency with long ones. All other attempts are refused at once.
-// Safe for concurrent use.
+// per second as its rate limit allows, plus a short queue. In the queue, nested calls whose
+// parent upstream is shorter of slots than this one go first, then the more urgent attempts,
+// then flows take turns, then the first to arrive. The queue is not ordered by deadline:
+// calls with short deadlines would then starve calls of equal urgency with long ones. All
+// other attempts are refused at once. Safe for concurrent use.
 type Gate struct {
 	mu       sync.Mutex
 	now      func() time.Time
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -9,7 +9,8 @@
 var Unlimited = math.Inf(1)
 
 const (
-	// rateBurst is the time for which an unused rate accumulates.
+	// rateBurst is the time for which an unused rate accumulates, so that attempts which
+	// arrive close together need not wait for each other.
 	rateBurst = 100 * time.Millisecond
 	// minRate is the rate, in requests per second, at which requests are sent under any
 	// limit: only an answer can tell that the upstream accepts more again.
--- a/internal/callpath/fleet_limit_test.go
+++ b/internal/callpath/fleet_limit_test.go
@@ -47,14 +47,6 @@
 	vm.known = newStatedLimit(vm.gate.SetRate)
 }
 
-// recordArrival records a request that reached the upstream and entered at another VM.
-// Requests that entered at the VM itself are excused once its daemon has restarted.
-func (l *simRateLimit) recordArrival(now time.Time, from *simVM) {
-	if &from.simRateLimit != l {
-		l.arrivals = append(l.arrivals, now)
-	}
-}
-
 // state makes the upstream state a limit from now on.
 func (s *fleetSim) state(vm *simVM, limit float64) {
 	vm.stated = limit
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -404,7 +404,7 @@
 	w, reason, after := to.gate.Enter(req)
 	switch {
 	case w == nil && reason == "":
-		s.runAttempt(vm, to, k, c, req, reply)
+		s.runAttempt(to, k, c, req, reply)
 	case w == nil:
 		refuse(reason, after)
 	default:
@@ -413,7 +413,7 @@
 				refuse(reason, to.gate.RetryAfter())
 				return
 			}
-			s.runAttempt(vm, to, k, c, req, reply)
+			s.runAttempt(to, k, c, req, reply)
 		}})
 		gate := to.gate
 		s.after(req.Deadline.Sub(s.now)-admission.AnswerMargin, func() {
@@ -450,8 +450,8 @@
 	vm           *simVM
 }
 
-// runAttempt runs an admitted attempt, which entered at the VM from, at an upstream.
-func (s *fleetSim) runAttempt(from, vm *simVM, k *simKind, c *call, a admission.Request, reply func(outcome.Result)) {
+// runAttempt runs an admitted attempt at an upstream.
+func (s *fleetSim) runAttempt(vm *simVM, k *simKind, c *call, a admission.Request, reply func(outcome.Result)) {
 	gate, known := vm.gate, vm.known
 	if c.attempt.Repeated {
 		s.repeatsAt[vm.service]++
@@ -468,7 +468,7 @@
 		s.deliverDecisions(vm)
 		return
 	}
-	vm.recordArrival(s.now, from)
+	vm.arrivals = append(vm.arrivals, s.now)
 	sigma := math.Sqrt(math.Log(1 + k.spread*k.spread))
 	factor := math.Exp(sigma*s.rng.NormFloat64() - sigma*sigma/2)
 	took := time.Duration(float64(k.work) * factor / vm.speed * s.slowdown(vm))
--- a/internal/callpath/statedlimit.go
+++ b/internal/callpath/statedlimit.go
@@ -21,7 +21,7 @@
 	mu sync.Mutex
 	// perSecond is admission.Unlimited while the upstream states no limit.
 	perSecond float64
-	// since is when a response first stated the current limit.
+	// since is when the current limit was recorded.
 	since time.Time
 	// answered is set once the upstream has responded to a request of this process.
 	answered bool
@@ -33,7 +33,7 @@
 
 // observe records the limit that a response states to a request sent at sentAt. It returns
 // the previous limit and whether the limit changed. A higher limit counts only if the
-// request was sent after the current limit was first stated: the upstream may have begun to
+// request was sent after the current limit was recorded: the upstream may have begun to
 // send that response before it lowered its limit.
 func (l *statedLimit) observe(now, sentAt time.Time, perSecond float64) (previous float64, changed bool) {
 	l.mu.Lock()
@@ -104,7 +104,7 @@
 // attempt knows of.
 func (o *Owner) recallRateLimit(loc *localUpstream, a *Attempt) {
 	if a.RateLimit > 0 && loc.limit.recall(o.cfg.Now(), a.RateLimit) {
-		o.rateLimitChanged(a, admission.Unlimited, a.RateLimit, "rate limit of the upstream known from the sender of an attempt")
+		o.rateLimitChanged(a, admission.Unlimited, a.RateLimit, "took over the rate limit that the sender of the attempt knows; the upstream has not answered yet")
 	}
 }
 
--- a/internal/system/restore.go
+++ b/internal/system/restore.go
@@ -10,7 +10,7 @@
 
 // receiveStoreEpoch handles an epoch that the store has named. A later epoch than the one known
 // means that the store has come back from an older copy of itself: what this system wrote last
-// is gone, and what this daemon still holds for true must be written again.
+// is gone, and must be written again where this daemon still relies on it.
 func receiveStoreEpoch(w *table.World, now time.Time, e StoreEpoch, out *Outbox) {
 	previous := w.Log.Epoch
 	if e.Epoch <= previous {
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -260,8 +260,8 @@
 	// ReadEpoch is the epoch of the last read of the configuration stream; zero: there was
 	// none.
 	ReadEpoch uint64
-	// Behind is set while the store's newest configuration is older than the one held here:
-	// the store came back from an older copy, and the operator has not written it again yet.
+	// Behind is set while the configuration last read from the store is older than the one
+	// held here, as after a restore until the operator has written the later one again.
 	Behind bool
 	// FailedStatus is the status with which the store answered the last read if that failed,
 	// or zero if it did not answer.
--- a/itest/limit_test.go
+++ b/itest/limit_test.go
@@ -8,7 +8,7 @@
 )
 
 // These tests guard against an upstream that gets more requests than it says it takes. One
-// that had named a limit in its answers got 2.6 times as many, as many as it had slots for:
+// that had stated a limit in its answers got 2.6 times as many, as many as it had slots for:
 // daemons counted its slots and passed the limit on without reading it.
 
 const (
@@ -96,8 +96,9 @@
 	time.Sleep(limitSettleTime)
 	from := time.Now()
 	time.Sleep(time.Second)
-	if n := mostInWindow(c, limited.ID, from, time.Now()); n < 120 {
-		t.Errorf("upstream that states no limit any more got %d requests in 1 s, want as many as it has slots for", n)
+	const wanted = 120 // twice its last limit; its slots serve 400 per second
+	if n := mostInWindow(c, limited.ID, from, time.Now()); n < wanted {
+		t.Errorf("upstream that states no limit any more got %d requests in 1 s, want %d or more", n, wanted)
 	}
 }
 
