A test sees that another incarnation of an upstream has no rate limit

Cause: no test failed when the line that lifts the limit for another incarnation was taken out.

Change: TestNewIncarnationHasNoRateLimit fails without either line of statedLimit.reset.

--- a/internal/callpath/statedlimit_test.go
+++ b/internal/callpath/statedlimit_test.go
@@ -68,6 +68,27 @@
 	is.Equal(update(12).gate.Rate(), 30.0)
 }
 
+// TestNewIncarnationHasNoRateLimit guards against an upstream that is held to the limit of the
+// process that ran at its address before. Nothing tells its owner otherwise until it answers,
+// and at a low limit it would get hardly any requests to answer.
+func TestNewIncarnationHasNoRateLimit(t *testing.T) {
+	is := is.New(t)
+	w := newWorker(t, "w", 4, 0, event.NewRing("vm", event.NewClock(time.Now), 16), NewMetrics(metrics.NewRegistry()))
+	update := func(incarnation string) *localUpstream {
+		w.owner.Update(&view.View{Locals: []table.Local{{
+			Upstream: wire.Upstream{ID: "w", Service: "s", Slots: 4}, Incarnation: incarnation, Addr: "127.0.0.1:1", Conns: 8,
+		}}})
+		return w.owner.upstreams["w"]
+	}
+	began := time.Now()
+	update("first").limit.observe(began, began, 30)
+	is.Equal(update("first").gate.Rate(), 30.0)
+	second := update("second")
+	is.Equal(second.gate.Rate(), 0.0)
+	is.True(second.limit.recall(began, 20)) // it has not answered yet
+	is.Equal(second.gate.Rate(), 20.0)
+}
+
 // TestOnlyAnAnswerLiftsARateLimit: a refusal, and a response that does not name its request,
 // lift no limit. A limit that they state counts.
 func TestOnlyAnAnswerLiftsARateLimit(t *testing.T) {
