Owners send long responses one after the other at the rate of their link

Cause: long responses left a VM unscheduled. On a link of 10 Mbit/s they filled it; nested calls, new connections and inquiries waited behind them, and other daemons took the owner for unreachable.

Change: package egress schedules them, and refuses before the run what could not be sent in time. Owners report the wait for their link, and the choice of an upstream counts it.

--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -71,6 +71,11 @@
 	// headerTook is how long the upstream took to respond, in microseconds. It is sent
 	// while a version is being rolled out.
 	headerTook = "Comfrey-Took-Us"
+	// headerAnswerBytes holds Attempt.AnswerBytes if that is not zero.
+	headerAnswerBytes = "Comfrey-Answer-Bytes"
+	// headerEgress is how long a long response would wait for the link of the owner's VM, in
+	// microseconds. It is absent if that is not at all.
+	headerEgress = "Comfrey-Egress-Us"
 	// headerAnyHost is present if the route matches requests for any host.
 	headerAnyHost = "Comfrey-Any-Host"
 	// headerSuspect holds the suspect.Record of a request that was running at an upstream
@@ -103,6 +108,9 @@
 	// TypicalLatency is how long calls of the route usually take, as measured at the
 	// ingress.
 	TypicalLatency time.Duration
+	// AnswerBytes is the expected size of the response in bytes if it is long, and zero
+	// otherwise.
+	AnswerBytes int
 	// Nested is set if an upstream makes the call for a request that it is running, the
 	// parent request.
 	Nested bool
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -128,6 +128,10 @@
 	criteria := pick.Criteria{Urgency: c.attempt.Urgency, Objective: objective, Body: len(c.attempt.Body), Tried: tried}
 	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
 	c.attempt.TypicalLatency = criteria.TypicalLatency
+	c.attempt.AnswerBytes = 0
+	if criteria.Answer = in.picker.ExpectAnswer(c.route.Name); criteria.Answer >= outcome.LongBody {
+		c.attempt.AnswerBytes = criteria.Answer
+	}
 	return criteria
 }
 
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/admission"
 	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/egress"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
@@ -57,6 +58,8 @@
 	guard   *stallGuard
 	// intake schedules long request bodies that arrive from other VMs.
 	intake *intake
+	// egress schedules long responses to other VMs.
+	egress *egress.Queue
 	// transit measures how long attempts were queued on their way to this daemon.
 	transit *transit
 	// recent holds the requests that the upstreams of this VM answered recently.
@@ -105,6 +108,7 @@
 		ledger: newLedger(cfg.Now), running: newRunningRequests(),
 		guard:     newStallGuard(boottime.NowAsTime),
 		intake:    newIntake(cfg.LinkMbps, cfg.Now),
+		egress:    egress.New(cfg.LinkMbps, cfg.Now),
 		transit:   newTransit(),
 		recent:    suspect.NewRecent(cfg.Now),
 		stop:      make(chan struct{}),
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -104,11 +104,19 @@
 		o.writeResult(w, o.refused(a, outcome.Refuse(outcome.ReasonDraining, 0)))
 		return
 	}
+	ticket, refusal, ok := o.reserveEgress(a)
+	if !ok {
+		o.writeResult(w, refusal)
+		return
+	}
 	res := o.receive(r, a)
 	if res.Outcome != outcome.Answered {
+		ticket.Cancel()
 		setSuspectHeader(w.Header(), o.cfg.Suspects, a)
+		o.writeResult(w, res)
+		return
 	}
-	o.writeResult(w, res)
+	o.writeAnswer(r.Context(), w, res, ticket)
 }
 
 // deductTransitDelay shortens the attempt's deadline and objective by the time for which
@@ -189,6 +197,9 @@
 		}
 	}
 	a.Repeated = h.Get(headerRepeated) != ""
+	if a.AnswerBytes, err = optionalInt(h.Get(headerAnswerBytes), 0); err != nil {
+		return nil, errors.Wrap(err, headerAnswerBytes)
+	}
 	a.RateLimit = rateLimitHeader(h)
 	a.AnyHost = h.Get(headerAnyHost) != ""
 	left, err := strconv.ParseInt(h.Get(headerLeft), 10, 64)
@@ -233,9 +244,18 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
-// writeResult writes the result of an attempt as the response to an ingress.
+// writeResult writes a result without an answer as the response to an ingress.
 func (o *Owner) writeResult(w http.ResponseWriter, r outcome.Result) {
+	o.setResultHeaders(w.Header(), r)
 	h := w.Header()
+	h.Set(HeaderReason, string(r.Reason))
+	h.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	h.Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// setResultHeaders sets the headers of the response to an ingress.
+func (o *Owner) setResultHeaders(h http.Header, r outcome.Result) {
 	if r.Outcome == outcome.Answered {
 		for name, values := range endToEndHeaders(r.Header) {
 			h[name] = values
@@ -245,6 +265,7 @@
 	h.Set(HeaderOutcome, string(r.Outcome))
 	if r.HasLoad {
 		h.Set(headerLoad, r.Load.Encode())
+		setEgressHeader(h, r.Load.Egress)
 	}
 	setRateLimitHeader(h, r.RateLimit)
 	if r.Draining {
@@ -253,15 +274,6 @@
 	if r.Took > 0 && o.rolloutActive.Load() {
 		h.Set(headerTook, strconv.FormatInt(r.Took.Microseconds(), 10))
 	}
-	if r.Outcome != outcome.Answered {
-		h.Set(HeaderReason, string(r.Reason))
-		h.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
-		h.Set("Content-Length", "0")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(r.Status)
-	copyBody(w, r.Body)
 }
 
 // copyBody copies a response's body to w. If the body is truncated, the connection is
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -143,6 +143,9 @@
 		h.Set(headerRepeated, "1")
 	}
 	setRateLimitHeader(h, a.RateLimit)
+	if a.AnswerBytes > 0 {
+		h.Set(headerAnswerBytes, strconv.Itoa(a.AnswerBytes))
+	}
 	h.Set(HeaderDepth, strconv.Itoa(a.Depth))
 	if a.AnyHost {
 		h.Set(headerAnyHost, "1")
@@ -184,6 +187,7 @@
 	mergeSuspectHeader(res.Header, r.suspects)
 	out := outcome.Result{Outcome: outcome.Kind(res.Header.Get(HeaderOutcome))}
 	out.Load, out.HasLoad = outcome.DecodeLoad(res.Header.Get(headerLoad))
+	out.Load.Egress = egressHeader(res.Header)
 	out.RateLimit = rateLimitHeader(res.Header)
 	out.Draining = res.Header.Get(HeaderDraining) != ""
 	if out.Outcome == outcome.Answered {
--- a/internal/outcome/load.go
+++ b/internal/outcome/load.go
@@ -21,6 +21,9 @@
 	// Intake is how long a body of LongBody or more has to wait at present before it may
 	// be sent to the owner.
 	Intake time.Duration
+	// Egress is how long a response of LongBody or more would wait for the link of the
+	// owner's VM. It is not part of the encoded load.
+	Egress time.Duration
 }
 
 // loadFields is the number of integers in an encoded load.
--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -18,7 +18,7 @@
 // and all of it far beyond. With a linear cost, calls were sent across failure domains to
 // save milliseconds that nobody notices, which doubled the bytes sent between domains.
 func (p *Picker) upstreamCost(u *view.Upstream, c Criteria, means serviceMeans, now time.Time) float64 {
-	expected := float64(c.TypicalLatency)*p.slowness(u, means, now) + float64(p.bodyWait(u, c, now))
+	expected := float64(c.TypicalLatency)*p.slowness(u, means, now) + float64(p.bodyWait(u, c, now)+p.answerWait(u, c, now))
 	objectiveFraction := expected / float64(max(c.Objective, time.Millisecond))
 	late := objectiveFraction * objectiveFraction * objectiveFraction
 	st := p.stats[u.ID]
@@ -39,6 +39,16 @@
 	return max(0, st.load.Intake-now.Sub(st.loadAt))
 }
 
+// answerWait returns how long the answer would wait for the network link of the upstream's
+// VM.
+func (p *Picker) answerWait(u *view.Upstream, c Criteria, now time.Time) time.Duration {
+	st := p.stats[u.ID]
+	if c.Answer < outcome.LongBody || u.Local || st == nil {
+		return 0
+	}
+	return max(0, st.load.Egress-now.Sub(st.loadAt))
+}
+
 // serviceMeans holds means over the upstreams of a service with a recent load report.
 type serviceMeans struct {
 	// serviceTime is their mean service time; zero: there was no recent report.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -19,6 +19,8 @@
 	TypicalLatency time.Duration
 	// Body is the length of the request's body, in bytes.
 	Body int
+	// Answer is how many bytes the answer usually has.
+	Answer int
 	// Bytes is how many bytes are sent to the upstream's VM and back.
 	Bytes int
 	// AffinityKey, if not empty, determines the upstream: of those that may be tried, all
--- a/internal/pick/routestats.go
+++ b/internal/pick/routestats.go
@@ -89,6 +89,17 @@
 	return p.routes.expect(route, body, objective)
 }
 
+// ExpectAnswer returns how many bytes the answer to a call of the route usually has; zero:
+// none was recorded yet.
+func (p *Picker) ExpectAnswer(route string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.routes[route]; r != nil {
+		return int(r.answerBytes)
+	}
+	return 0
+}
+
 // RecordAnswer records the size and the duration of an answer to a route's call.
 func (p *Picker) RecordAnswer(route string, size int, took time.Duration) {
 	p.mu.Lock()
