Load control: a setting, and nested calls first where it is in force

Cause: nested calls of runs that had begun were refused beside direct calls, which wastes the run and its other nested calls.

Where it is in force, gates admit nested calls before direct ones. Everywhere else nothing changes.

--- a/internal/admin/query.go
+++ b/internal/admin/query.go
@@ -212,12 +212,12 @@
 }
 
 func policies(s snapshot) result {
-	r := result{columns: []string{"policy", "version", "in-force", "urgency", "timeout", "retries", "repeatable"}}
+	r := result{columns: []string{"policy", "version", "in-force", "urgency", "timeout", "retries", "repeatable", "large-answers"}}
 	c := s.world.Config.State.Content
 	for _, name := range slices.Sorted(maps.Keys(c.Policies)) {
 		p := c.Policies[name]
 		r.add(name, s.revision(config.KindPolicy, name), s.inForce(config.KindPolicy, name), p.Urgency.String(),
-			p.Timeout.String(), strconv.Itoa(p.Retries), strings.Join(p.Repeatable, ","))
+			p.Timeout.String(), strconv.Itoa(p.Retries), strings.Join(p.Repeatable, ","), strconv.FormatBool(p.LargeAnswers))
 	}
 	return r
 }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -47,6 +47,8 @@
 	// direct is the served fraction of the direct calls, which are those that are not
 	// nested.
 	direct servedAverage
+	// nestedFirst is set if all nested calls go before all direct ones.
+	nestedFirst bool
 	// lost estimates the attempts in flight that no longer hold a slot at the upstream.
 	lost lostAnswers
 	// rate bounds the attempts per second.
@@ -88,6 +90,14 @@
 	g.admitWaiting()
 }
 
+// SetNestedFirst sets whether all nested calls go before all direct ones. Otherwise only
+// those do whose parent upstream is shorter of slots than this one.
+func (g *Gate) SetNestedFirst(first bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nestedFirst = first
+}
+
 // Close refuses all waiting and all further attempts for the given reason.
 func (g *Gate) Close(reason outcome.Reason) {
 	g.mu.Lock()
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -25,7 +25,13 @@
 // with it a slot at the parent's upstream. Where slots are scarcer there, that costs more
 // than a slot here; otherwise priority would only take a slot here from calls that may be
 // more urgent.
+//
+// With nestedFirst, every nested call goes first: the part of its parent's run that is done is
+// wasted if it is refused, and so are the nested calls beside it.
 func (g *Gate) hasPriority(a Request) bool {
+	if g.nestedFirst {
+		return a.Nested
+	}
 	return a.Nested && a.ParentServedFraction < shortageThreshold && a.ParentServedFraction < g.direct.fraction(g.now())
 }
 
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -159,6 +159,7 @@
 		ramp = s.Ramp
 	}
 	loc.gate.Resize(l.Slots, ramp)
+	loc.gate.SetNestedFirst(v.LoadControl)
 	if l.Draining || v.Leaving || loc.draining {
 		loc.gate.Close(outcome.ReasonDraining)
 	} else {
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -39,7 +39,7 @@
 // Equal reports whether two policies have the same values.
 func (p Policy) Equal(o Policy) bool {
 	return p.Name == o.Name && p.Urgency == o.Urgency && p.Timeout == o.Timeout && p.Objective == o.Objective &&
-		p.Retries == o.Retries && slices.Equal(p.Repeatable, o.Repeatable)
+		p.Retries == o.Retries && slices.Equal(p.Repeatable, o.Repeatable) && p.LargeAnswers == o.LargeAnswers
 }
 
 // Equal reports whether two routes have the same values.
--- a/internal/config/digest.go
+++ b/internal/config/digest.go
@@ -14,6 +14,10 @@
 
 // entityDigest returns the digest of one entity.
 func entityDigest(kind Kind, name string, entity any) digest {
+	if p, ok := entity.(Policy); ok {
+		p.LargeAnswers = false
+		entity = p
+	}
 	b, err := json.Marshal(entity)
 	if err != nil {
 		b = []byte("unhashable: " + err.Error())
--- a/internal/config/entity.go
+++ b/internal/config/entity.go
@@ -74,6 +74,9 @@
 	// Repeatable lists the methods that may run more than once. A call of any other method
 	// is retried only when it is known not to have run.
 	Repeatable []string `json:"repeatable,omitempty"`
+	// LargeAnswers is set if the answers are expected to be large. It is not part of a
+	// state's digest: builds that do not know the field compute the same one.
+	LargeAnswers bool `json:"large_answers,omitempty"`
 }
 
 // MayRepeat reports whether calls of this method may run more than once.
--- a/internal/lang/document.go
+++ b/internal/lang/document.go
@@ -32,6 +32,7 @@
 	Timeout    string    `yaml:"timeout"`
 	Retries    *int      `yaml:"retries"`
 	Repeatable *[]string `yaml:"repeatable"`
+	Large      bool      `yaml:"large_answers"`
 }
 
 type callerDoc struct {
@@ -111,7 +112,7 @@
 }
 
 func (p policyDoc) policy() (*config.Policy, error) {
-	out := &config.Policy{Name: p.Name, Retries: DefaultRetries, Repeatable: DefaultRepeatable()}
+	out := &config.Policy{Name: p.Name, Retries: DefaultRetries, Repeatable: DefaultRepeatable(), LargeAnswers: p.Large}
 	if err := urgency(&out.Urgency)([]string{p.Urgency}); err != nil {
 		return nil, err
 	}
--- a/internal/lang/statement.go
+++ b/internal/lang/statement.go
@@ -265,6 +265,8 @@
 		"timeout":    duration(&p.Timeout),
 		"retries":    integer(&p.Retries),
 		"repeatable": methods(&p.Repeatable),
+
+		"large-answers": yesNo(&p.LargeAnswers),
 	}, "urgency", "timeout")
 	return p, err
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/pkg/errors"
 
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/quota"
 	"github.com/comfreygate/comfreygate/internal/table"
 )
@@ -200,6 +201,10 @@
 	// LinkMbps is the bandwidth of this VM's link, in Mbit/s. Long bodies from other VMs
 	// are accepted no faster than a part of it. Default: 0, no limit.
 	LinkMbps float64 `yaml:"link_mbps"`
+	// LoadControl says when load control is in force: auto, on or off. It covers nested
+	// calls, limits, and the speed of upstreams under load. Default: auto, which is where the
+	// configuration has a workspace with a limit or a policy with large answers.
+	LoadControl config.LoadControl `yaml:"load_control"`
 	// Drain is how long callers take to notice that a daemon is stopping. A stopping
 	// daemon keeps accepting calls for this long, but no longer than 0.4 of bounds.stop.
 	// Default: 2500ms, which is two readiness checks one second apart, and half a second
@@ -257,7 +262,7 @@
 		Calls: Calls{
 			MaxBody: 1 << 20, MaxHeader: 1 << 16, QueueFactor: 1,
 			ConnectTimeout: Duration(500 * time.Millisecond), UpstreamIdle: Duration(20 * time.Second),
-			InquireAfter: Duration(time.Second), RetryRatio: 0.1, RetryBurst: 50, CrossDomainCost: 40,
+			InquireAfter: Duration(time.Second), RetryRatio: 0.1, RetryBurst: 50, CrossDomainCost: 40, LoadControl: config.LoadControlAuto,
 			Drain: Duration(2500 * time.Millisecond),
 		},
 		Logging: "info", GCPercent: 400,
@@ -298,5 +303,6 @@
 		MaxLinks: c.MaxLinks, SnapshotsPerSecond: c.SnapshotsPerSecond,
 		Probe: time.Duration(c.Probe), Checkpoint: time.Duration(s.Log.Retention) / checkpointsPerRetention,
 		Seeds: c.Peers, Domains: len(s.FailureDomains), InForce: time.Duration(s.Bounds.InForce), Revoke: time.Duration(s.Bounds.Revoke), Exposure: s.Bounds.Exposure,
+		LoadControl: s.Calls.LoadControl,
 	}
 }
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -59,6 +59,8 @@
 	Exposure float64
 	// Domains is the least number of failure domains of the deployment.
 	Domains int
+	// LoadControl says when load control is in force.
+	LoadControl config.LoadControl
 	// Seeds are the addresses of daemons through which the others are found.
 	Seeds []string
 }
@@ -82,6 +84,7 @@
 		Checkpoint:         6 * time.Hour,
 		InForce:            15 * time.Second,
 		Exposure:           0.1,
+		LoadControl:        config.LoadControlAuto,
 	}
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -68,6 +68,8 @@
 	Limits config.Limits
 	// LimitCoordinators holds the limit coordinator of each failure domain.
 	LimitCoordinators map[string]LimitCoordinator
+	// LoadControl is set if load control is in force.
+	LoadControl bool
 	// Domains is the least number of failure domains of the deployment.
 	Domains int
 	// Daemons is the number of known daemons, including those whose records have lapsed.
@@ -97,6 +99,7 @@
 		routes = before.Routes
 	}
 	v.Routes = routes.forState(state)
+	v.LoadControl = w.Params.LoadControl.InForce(state.Content)
 	v.Daemons, v.Domains = len(w.Members)+1, w.Params.Domains
 	for domain, m := range w.LimitCoordinators {
 		v.LimitCoordinators[domain] = LimitCoordinator{Daemon: m.ID, Owner: m.Owner, Local: m.ID == w.Self.ID}
