Owners book their link by due times and give back unused time

Cause: the schedule of long responses had faults. A copy of an attempt that had run could be refused as not run, because room on the link was reserved before the ledger was asked. A panic kept the reservation. A retry-after could come too early, since running attempts were counted without the time at which they are due.

Change: reservations follow the ledger's acceptance, carry the time at which their responses are due, and are returned on every path. Metrics egress.waiting_us, egress.sent_bytes and egress.refused, and a log line for each refusal.

--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -1,6 +1,7 @@
 package callpath
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -46,6 +47,12 @@
 	OverLimit  metrics.Counter
 	UnknownKey metrics.Counter
 	Stale      metrics.Counter
+	// EgressSent counts the bytes of responses that were sent over a link with a limit,
+	// EgressRefused the attempts refused for the link.
+	EgressSent    metrics.Counter
+	EgressRefused metrics.Counter
+	// egressWait returns the wait for the link at present.
+	egressWait atomic.Pointer[func() time.Duration]
 	// Latency is the time from the arrival of a call until it is answered, in
 	// nanoseconds.
 	Latency metrics.Timer
@@ -56,7 +63,8 @@
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("calls."+name, r)
 	}
-	return &Metrics{
+	m := &Metrics{
+		EgressSent: metrics.GetOrRegisterCounter("egress.sent_bytes", r), EgressRefused: metrics.GetOrRegisterCounter("egress.refused", r),
 		Calls: counter("received"), Answered: counter("answered"), NotRun: counter("not_run"),
 		Unknown: counter("unknown"), Retries: counter("retries"), RetryDenied: counter("retries_denied"),
 		RetriesFoundRoom: counter("retries_found_room"),
@@ -66,6 +74,19 @@
 		OverLimit: counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
 		Quarantined: counter("quarantined"), UpstreamCrashes: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
 	}
+	metrics.NewRegisteredFunctionalGauge("egress.waiting_us", r, m.egressWaitMicros)
+	return m
+}
+
+// setEgressWait sets the function that returns the wait for the link at present.
+func (m *Metrics) setEgressWait(wait func() time.Duration) { m.egressWait.Store(&wait) }
+
+func (m *Metrics) egressWaitMicros() int64 {
+	wait := m.egressWait.Load()
+	if wait == nil {
+		return 0
+	}
+	return (*wait)().Microseconds()
 }
 
 func (m *Metrics) answered(took time.Duration) {
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -72,9 +72,11 @@
 	// then carry the time that the upstream took.
 	rolloutActive atomic.Bool
 	// logLimit limits how many log lines are written about attempts, limitLogLimit how many
-	// about the rate limits of upstreams.
-	logLimit      lineLimit
-	limitLogLimit lineLimit
+	// about the rate limits of upstreams, egressLogLimit how many about refusals for the
+	// link.
+	logLimit       lineLimit
+	limitLogLimit  lineLimit
+	egressLogLimit lineLimit
 
 	mu        sync.Mutex
 	upstreams map[string]*localUpstream
@@ -114,6 +116,7 @@
 		stop:      make(chan struct{}),
 		upstreams: map[string]*localUpstream{},
 	}
+	cfg.Metrics.setEgressWait(func() time.Duration { return o.egress.Wait(0) })
 	go o.guard.run(o.stop)
 	return o
 }
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/egress"
 	"github.com/comfreygate/comfreygate/internal/limits"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
@@ -104,14 +105,10 @@
 		o.writeResult(w, o.refused(a, outcome.Refuse(outcome.ReasonDraining, 0)))
 		return
 	}
-	ticket, refusal, ok := o.reserveEgress(a)
-	if !ok {
-		o.writeResult(w, refusal)
-		return
-	}
-	res := o.receive(r, a)
+	var ticket egress.Ticket
+	defer func() { ticket.Cancel() }()
+	res := o.receive(r, a, &ticket)
 	if res.Outcome != outcome.Answered {
-		ticket.Cancel()
 		setSuspectHeader(w.Header(), o.cfg.Suspects, a)
 		o.writeResult(w, res)
 		return
@@ -134,15 +131,21 @@
 	}
 }
 
-// receive accepts an attempt from another VM and runs it. A long body is requested from
-// the sender only when its turn on the link has come and the upstream, by its current
-// load, would admit the attempt.
-func (o *Owner) receive(r *http.Request, a *Attempt) outcome.Result {
+// receive accepts an attempt from another VM and runs it. An attempt whose response could
+// not be sent in time is refused before its body is read: after it was accepted, so that a
+// copy of an attempt that has run is not reported as not run. A long body is requested
+// from the sender only when its turn on the link has come and the upstream, by its current
+// load, would admit the attempt. The caller returns the ticket, also after a panic.
+func (o *Owner) receive(r *http.Request, a *Attempt, ticket *egress.Ticket) outcome.Result {
 	stalls := o.guard.stallCount()
 	loc, refusal := o.accept(a)
 	if loc == nil {
 		return o.refused(a, refusal)
 	}
+	if refusal, ok := o.reserveEgress(loc, a, ticket); !ok {
+		o.ledger.abandon(a.ID)
+		return o.refused(a, refusal)
+	}
 	if refusal, ok := o.readBody(r, loc, a); !ok {
 		o.ledger.abandon(a.ID)
 		return o.refused(a, o.withLoad(refusal, loc))
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -111,7 +111,7 @@
 func (o *Owner) withLoad(r outcome.Result, loc *localUpstream) outcome.Result {
 	r.Load = loc.gate.Load()
 	r.Load.Intake = o.intake.wait()
-	r.Load.Egress = o.egress.Wait()
+	r.Load.Egress = o.egress.Wait(r.Load.Service)
 	r.HasLoad = true
 	r.RateLimit = loc.gate.Rate()
 	return r
@@ -150,7 +150,7 @@
 	took := o.cfg.Now().Sub(began)
 	load := loc.gate.LoadAfter(took)
 	load.Intake = o.intake.wait()
-	load.Egress = o.egress.Wait()
+	load.Egress = o.egress.Wait(load.Service)
 	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true, RateLimit: loc.gate.Rate(), Draining: draining, Took: took}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -199,7 +199,8 @@
 	// is worth more. Default: 40.
 	CrossDomainCost float64 `yaml:"cross_domain_cost"`
 	// LinkMbps is the bandwidth of this VM's link, in Mbit/s. Long bodies from other VMs
-	// are accepted no faster than a part of it. Default: 0, no limit.
+	// are accepted, and long responses to them sent, no faster than a part of it. Default:
+	// 0, no limit.
 	LinkMbps float64 `yaml:"link_mbps"`
 	// LoadControl says when load control is in force: auto, on or off. It covers nested
 	// calls, limits, and the speed of upstreams under load. Default: auto, which is where the
