An owner behind a saturated link is not down

All its capacity was lost until a probe succeeded. A refusal for the link also kept short calls away.

Change: an owner that has reported a wait for its link within the last second is not marked down if it merely does not respond in time, and its upstream is not avoided; only this call goes elsewhere. An owner that refuses connections, or was restarted, is marked at once. dialError unwraps to its cause, so that time-outs are recognized. A refusal for the link keeps only calls with long messages away.

--- a/internal/callpath/health.go
+++ b/internal/callpath/health.go
@@ -9,8 +9,14 @@
 )
 
 // markOwnerDown stops using an owner that could not be reached, and probes it in the
-// background until it answers again.
-func (in *Ingress) markOwnerDown(u view.Upstream) {
+// background until it answers again. silent is set if it merely did not respond in time:
+// an owner that has just reported a wait for its link is then still used, because its
+// packets are delayed behind long responses.
+func (in *Ingress) markOwnerDown(u view.Upstream, silent bool) {
+	if silent && in.picker.LinkBusy(u) {
+		in.logLinkBusy(u)
+		return
+	}
 	if !in.picker.SetDown(u.Owner, true) {
 		return
 	}
@@ -19,6 +25,15 @@
 	go in.probeUntilReachable(u)
 }
 
+// logLinkBusy logs that an owner stays in use although it did not respond in time.
+func (in *Ingress) logLinkBusy(u view.Upstream) {
+	if !mayLog(in.cfg.Logger, &in.ownerLogLimit, in.cfg.Now(), "owner-link-busy") {
+		return
+	}
+	in.cfg.Logger.Info().Str("step", "owner-link-busy").Str("peer", u.Daemon).Str("domain", u.Domain).
+		Msg("owner did not respond in time while its link is busy: it stays in use")
+}
+
 // ownerProbeMinInterval and ownerProbeMaxInterval limit the backoff between probes of an
 // unreachable owner.
 const (
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -103,9 +103,11 @@
 	// about to exit.
 	callsCtx    context.Context
 	cancelCalls context.CancelFunc
-	// refusalLogLimit and retryLogLimit limit the rate of log lines about calls.
+	// refusalLogLimit and retryLogLimit limit the rate of log lines about calls,
+	// ownerLogLimit that of lines about owners with a busy link.
 	refusalLogLimit lineLimit
 	retryLogLimit   lineLimit
+	ownerLogLimit   lineLimit
 	// backgroundCtx is cancelled by Close and ends the background work.
 	backgroundCtx    context.Context
 	cancelBackground context.CancelFunc
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -168,7 +168,7 @@
 		in.picker.Finished(u)
 	}
 	if r.OwnerDown {
-		in.markOwnerDown(u)
+		in.markOwnerDown(u, r.OwnerSilent)
 	}
 	if r.Err != nil {
 		in.cfg.Logger.Debug().Str("step", "attempt").Str("peer", u.Daemon).Str("request", a.Request).
--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -52,7 +52,7 @@
 // does not start any more.
 func (r *remote) voidAfterAnswer(ctx context.Context, u view.Upstream, a *Attempt) {
 	if _, err := r.inquire(ctx, pathVoid, u, a); err != nil {
-		r.onOwnerUnreachable(u)
+		r.onOwnerUnreachable(u, timedOut(err))
 	}
 }
 
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -53,6 +53,9 @@
 // Error returns the message of the cause.
 func (e *dialError) Error() string { return e.err.Error() }
 
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.err }
+
 // withheldError reports that a request was not sent because its caller disconnected or
 // its deadline passed while it waited for a connection.
 type withheldError struct{ reason outcome.Reason }
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -47,7 +47,8 @@
 	metrics      *Metrics
 	// onOwnerUnreachable is called for the upstream of an attempt if its owner does not
 	// answer an inquiry about the attempt either.
-	onOwnerUnreachable func(view.Upstream)
+	// silent is set if it merely did not respond in time.
+	onOwnerUnreachable func(u view.Upstream, silent bool)
 	// suspects is the table of suspects that the whole daemon shares.
 	suspects *suspect.Table
 	// callsCtx is cancelled when attempts must end because the process is about to exit.
@@ -243,7 +244,7 @@
 		return r.voidedResult(err)
 	}
 	out := lostConnection(outcome.ReasonBroken, err)
-	out.OwnerDown = inquiryErr != nil
+	out.OwnerDown, out.OwnerSilent = inquiryErr != nil, timedOut(inquiryErr)
 	return out
 }
 
@@ -270,6 +271,7 @@
 	switch cause := context.Cause(ctx); {
 	case cause == nil || errors.Is(cause, errSilent):
 		out.Reason, out.RetryAfter, out.OwnerDown = outcome.ReasonUnreachable, 0, true
+		out.OwnerSilent = cause != nil || timedOut(err)
 	case errors.Is(cause, errStopping) || errors.Is(cause, errVoided):
 		out.Reason, out.RetryAfter = outcome.ReasonDraining, restartRetryAfter
 	default:
@@ -278,6 +280,12 @@
 	return out, true
 }
 
+// timedOut reports whether the error is that nothing arrived in time.
+func timedOut(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // voidedResult returns the result of an attempt that its owner has voided.
 func (r *remote) voidedResult(err error) outcome.Result {
 	r.metrics.Voided.Inc(1)
--- a/internal/callpath/unsent_test.go
+++ b/internal/callpath/unsent_test.go
@@ -114,7 +114,7 @@
 	send := func(ctx context.Context, a *Attempt, wait func()) outcome.Result {
 		r := newRemote(slowDialer(wait), time.Minute, event.NewRing("vm", event.NewClock(time.Now), 8), NewMetrics(metrics.NewRegistry()))
 		r.callsCtx, r.suspects = context.Background(), suspect.NewTable(time.Now)
-		r.onOwnerUnreachable = func(view.Upstream) {}
+		r.onOwnerUnreachable = func(view.Upstream, bool) {}
 		res := r.send(ctx, u, a)
 		if res.Body != nil {
 			res.Body.Close()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -49,7 +49,8 @@
 	ReasonOverload        Reason = "overload"
 	// ReasonUpstreamLimit: the upstream accepts no more requests per second.
 	ReasonUpstreamLimit Reason = "upstream-limit"
-	// ReasonLink: the body would wait too long for the network link of the owner's VM.
+	// ReasonLink: the body or the response would wait too long for the network link of the
+	// owner's VM.
 	ReasonLink Reason = "link-busy"
 	// ReasonUpstreamRefused: the upstream itself refused the request.
 	ReasonUpstreamRefused Reason = "upstream-refused"
@@ -97,6 +98,9 @@
 	Body   io.ReadCloser
 	// OwnerDown is set if the owner itself was unreachable.
 	OwnerDown bool
+	// OwnerSilent is set with OwnerDown if the owner did not respond in time, as opposed to
+	// a refused connection or an answer that says that the daemon was restarted.
+	OwnerSilent bool
 	// Lost is set if the connection to the owner was lost, so that nothing is known of
 	// the upstream.
 	Lost bool
--- /dev/null
+++ b/internal/pick/link.go
@@ -0,0 +1,47 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/view"
+)
+
+// linkBusyMaxAge is how long a report of a wait for an owner's link counts: an owner that
+// was lost right after it is still recognized within a second.
+const linkBusyMaxAge = time.Second
+
+// usesLink reports whether the call has a long body or a long answer, which wait for the
+// link of the upstream's VM.
+func (c Criteria) usesLink() bool {
+	return c.Body >= outcome.LongBody || c.Answer >= outcome.LongBody
+}
+
+// linkWait returns how long an upstream's owner asked to send it no calls of this kind,
+// because they would wait too long for its link.
+func (st *stats) linkWait(c Criteria, now time.Time) time.Duration {
+	if !c.usesLink() {
+		return 0
+	}
+	return max(0, st.avoidLinkUntil.Sub(now))
+}
+
+// recordLink records the wait for its link that an owner reported.
+func (p *Picker) recordLink(u *view.Upstream, wait time.Duration) {
+	if wait > 0 {
+		p.linkBusyAt[u.Owner] = p.now()
+	}
+}
+
+// LinkBusy reports whether the upstream's owner has just reported that responses wait for
+// its link.
+func (p *Picker) LinkBusy(u view.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.linkBusy(&u)
+}
+
+func (p *Picker) linkBusy(u *view.Upstream) bool {
+	at, ok := p.linkBusyAt[u.Owner]
+	return ok && p.now().Sub(at) < linkBusyMaxAge
+}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -80,8 +80,10 @@
 			continue
 		}
 		anyReachable = true
-		if st := p.stats[u.ID]; st != nil && now.Before(st.avoidUntil[c.Urgency]) {
-			retryAfter = minNonZero(retryAfter, st.avoidUntil[c.Urgency].Sub(now))
+		if st := p.stats[u.ID]; st != nil {
+			if wait := max(st.avoidUntil[c.Urgency].Sub(now), st.linkWait(c, now)); wait > 0 {
+				retryAfter = minNonZero(retryAfter, wait)
+			}
 		}
 	}
 	switch {
@@ -149,7 +151,7 @@
 		return false
 	}
 	st := p.stats[u.ID]
-	return st == nil || !now.Before(st.avoidUntil[c.Urgency])
+	return st == nil || !now.Before(st.avoidUntil[c.Urgency]) && st.linkWait(c, now) == 0
 }
 
 // maxDraws is how many upstreams are drawn at random to find two usable ones before the
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -52,8 +52,11 @@
 	// avoidUntil is, by urgency, the time until which the owner asked to send no calls. A
 	// refusal says nothing about more urgent calls, which may displace waiting ones.
 	avoidUntil [config.MostUrgent + 1]time.Time
-	refusals   refusalRates
-	usedAt     time.Time
+	// avoidLinkUntil is the time until which the owner asked to send no calls that wait for
+	// its link.
+	avoidLinkUntil time.Time
+	refusals       refusalRates
+	usedAt         time.Time
 }
 
 // Picker chooses an upstream for each attempt: the one with the lowest cost of expected
@@ -68,8 +71,10 @@
 	rand     *rand.Rand
 	stats    map[string]*stats
 	// down holds the owners that this daemon cannot reach.
-	down   map[string]bool
-	routes routeTable
+	down map[string]bool
+	// linkBusyAt is when an owner last reported that responses wait for its link, by owner.
+	linkBusyAt map[string]time.Time
+	routes     routeTable
 	// groups and means cache what is derived from a service's upstreams, by service name.
 	groups map[string]*localityGroups
 	means  map[string]cachedMeans
@@ -83,7 +88,7 @@
 func New(domain string, byteCost float64, now func() time.Time, seed uint64) *Picker {
 	return &Picker{
 		domain: domain, byteCost: byteCost, now: now, rand: rand.New(rand.NewPCG(seed, seed)),
-		stats: map[string]*stats{}, down: map[string]bool{}, routes: routeTable{},
+		stats: map[string]*stats{}, down: map[string]bool{}, linkBusyAt: map[string]time.Time{}, routes: routeTable{},
 		groups: map[string]*localityGroups{}, means: map[string]cachedMeans{}, refusals: map[string]*refusalRates{},
 	}
 }
@@ -110,13 +115,18 @@
 		st.load = r.Load
 		st.loadAt = p.now()
 		st.rateLimit = r.RateLimit
+		p.recordLink(&u, r.Load.Egress)
 	}
 	p.recordRefusal(u.Service, st, urgency, r, p.now())
 	switch {
 	case r.RefusedAsSuspect():
 		// The result depends on the request, not on the upstream.
+	case r.OwnerSilent && p.linkBusy(&u):
+		// The result depends on the link: only this call goes elsewhere.
 	case r.Outcome == outcome.NotRun && r.UpstreamUnavailable():
 		st.avoid(config.MostUrgent, p.now().Add(unavailableRetry))
+	case r.Outcome == outcome.NotRun && r.Reason == outcome.ReasonLink:
+		st.avoidLinkUntil = p.now().Add(r.RetryAfter)
 	case r.Outcome == outcome.NotRun && r.RetryAfter > 0:
 		st.avoid(urgency, p.now().Add(r.RetryAfter))
 	case r.Outcome == outcome.Answered && r.Status < 500:
@@ -218,6 +228,11 @@
 	p.nextExpiry = now.Add(statsRetention / 10)
 	clear(p.groups)
 	clear(p.means)
+	for owner, at := range p.linkBusyAt {
+		if now.Sub(at) >= linkBusyMaxAge {
+			delete(p.linkBusyAt, owner)
+		}
+	}
 	for id, st := range p.stats {
 		if st.outstanding == 0 && now.Sub(st.usedAt) > statsRetention {
 			delete(p.stats, id)
