A few patient callers do not make all others look late

Cause: how long a caller had waited was taken from the longest time that any caller allowed, which decays by a hundredth of the difference a call. With one in 25 callers that allows half as much again, all others counted as having waited for a second and more: their objective lay in the past, and gates refused them where they would have waited for a slot and been in time.

Change: the usual time is a rank of the last 32 calls' times, and differences of a fifth count as spread.

--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -98,7 +98,7 @@
 	if err != nil || left == 0 || c.attempt.Nested {
 		return at // the timeout of a nested call is what its parent has left
 	}
-	return at.Add(-in.picker.EstimatedWait(c.route.Name, left, policy.Timeout))
+	return at.Add(-in.picker.EstimatedWait(c.route.Name, left))
 }
 
 // maxBody returns the maximum size of a request body, in bytes.
--- a/internal/pick/routestats.go
+++ b/internal/pick/routestats.go
@@ -1,6 +1,9 @@
 package pick
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// headerBytes is the size of a call's headers on the way to another VM and back,
@@ -10,12 +13,16 @@
 	routeWeight = 0.1
 	// initialAnswerBytes is the assumed size of an answer before the first one.
 	initialAnswerBytes = 2000
-	// maxTimeGivenDecay is how fast the longest time that callers of a route allow decays:
-	// with each call that is allowed less time, by this fraction of the difference.
-	maxTimeGivenDecay = 0.01
-	// maxTimeGivenFactor bounds that longest time as a multiple of the route's timeout,
-	// so that a caller with an unlimited deadline does not make all others look late.
-	maxTimeGivenFactor = 3
+	// timeGivenSamples is the number of recent calls of a route from which the time that
+	// callers usually allow is determined.
+	timeGivenSamples = 32
+	// usualTimeGivenRank is the rank of the usual time among these samples, the shortest
+	// first. Up to three quarters of the calls may be retries, which are allowed less, and a
+	// few callers may allow much more than all others.
+	usualTimeGivenRank = timeGivenSamples * 3 / 4
+	// timeGivenSpread is the fraction of the usual time by which callers differ that have not
+	// waited.
+	timeGivenSpread = 0.2
 	// maxRoutes bounds the number of routes whose means are kept.
 	maxRoutes = 10_000
 )
@@ -24,8 +31,10 @@
 type routeStats struct {
 	answerBytes float64
 	took        float64
-	// maxTimeGiven is the longest time that a caller recently allowed for a call.
-	maxTimeGiven float64
+	// timesGiven holds the times that callers allowed for the most recent calls, calls the
+	// number of calls so far.
+	timesGiven [timeGivenSamples]time.Duration
+	calls      int
 	// measured is set once an answer has set answerBytes and took.
 	measured bool
 }
@@ -59,16 +68,24 @@
 
 // waited returns how long a caller has probably waited already: callers allow less time
 // for a call when they retry it.
-func (t routeTable) waited(route string, left, timeout time.Duration) time.Duration {
+func (t routeTable) waited(route string, left time.Duration) time.Duration {
 	r := t.get(route)
-	timeGiven := float64(min(left, maxTimeGivenFactor*timeout))
-	if timeGiven >= r.maxTimeGiven {
-		r.maxTimeGiven = timeGiven
+	r.timesGiven[r.calls%timeGivenSamples] = left
+	r.calls++
+	usual := r.usualTimeGiven()
+	waited := usual - left
+	if float64(waited) <= timeGivenSpread*float64(usual) {
 		return 0
 	}
-	waited := r.maxTimeGiven - timeGiven
-	r.maxTimeGiven -= maxTimeGivenDecay * waited
-	return time.Duration(waited)
+	return waited
+}
+
+// usualTimeGiven returns the time that callers who have not waited usually allow.
+func (r *routeStats) usualTimeGiven() time.Duration {
+	sorted := r.timesGiven
+	n := min(r.calls, timeGivenSamples)
+	slices.Sort(sorted[:n])
+	return sorted[n*usualTimeGivenRank/timeGivenSamples]
 }
 
 // expect returns how many bytes a call of the route with this body moves, and how long it
@@ -108,8 +125,8 @@
 }
 
 // EstimatedWait returns how long a caller with the given time left has probably waited already.
-func (p *Picker) EstimatedWait(route string, left, timeout time.Duration) time.Duration {
+func (p *Picker) EstimatedWait(route string, left time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.routes.waited(route, left, timeout)
+	return p.routes.waited(route, left)
 }
