Bytes between failure domains are counted by purpose

Cause: the bytes between failure domains are a customer's largest cost, and no metric attributes them.

Change: package crossdomain counts them at the daemon that opens a connection, in both directions and with headers: cross_domain.bytes.calls, nested, retries, limits and control. A connection to an owner has the purpose of its current attempt. The transport of control connections learns the failure domain of the other end from its hello.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -145,7 +145,7 @@
 	a.suspects = suspect.NewTable(time.Now)
 	a.quarantine = quarantineReader{follower: store.NewFollower(opts.Log, store.QuarantineTopic, 0), logger: opts.Logger}
 	a.world = table.New(a.self, params, a.suspects, now, seed)
-	a.transport = peer.New(a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
+	a.transport = peer.New(s.FailureDomain, a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
 	a.configMetrics = newConfigMetrics(a.metrics)
 	m := callpath.NewMetrics(a.metrics)
 	limiter := limits.New(limits.Config{
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -131,6 +131,9 @@
 	// request: the nested calls of a repeated run count as repeats at their upstreams
 	// too.
 	Repeated bool
+	// Retry is set if the ingress has made an attempt of the call before. It is not sent to the
+	// owner.
+	Retry bool
 	// Repeatable is set if the call may run more than once.
 	Repeatable bool
 	// IdempotencyKey is the caller's idempotency key, or empty.
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -34,6 +34,7 @@
 			return t.exhausted(refusal)
 		}
 		c.attempt.Repeated = c.attempt.Repeated || t.reached > 0
+		c.attempt.Retry = len(t.upstreams) > 0
 		t.add(u, in.try(ctx, c, u))
 		if ctx.Err() != nil || in.callsCtx.Err() != nil || !in.mayRetry(c, &t) {
 			return t.best()
--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -110,7 +111,7 @@
 // inquire sends an inquiry about an attempt to its owner: pathAttempt asks for its state,
 // pathVoid voids it unless it has started and then asks for its state.
 func (r *remote) inquire(ctx context.Context, path string, u view.Upstream, a *Attempt) (State, error) {
-	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	ctx, cancel := context.WithTimeout(crossdomain.WithPurpose(ctx, r.purpose(u, a)), inquiryTimeout)
 	defer cancel()
 	body, err := json.Marshal(Inquiry{Attempt: a.ID, Incarnation: u.Incarnation, LeftMs: time.Until(a.Deadline).Milliseconds()})
 	if err != nil {
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/comfreygate/comfreygate/internal/crossdomain"
 )
 
 // Metrics holds the metrics of the call path.
@@ -49,6 +51,8 @@
 	// Latency is the time from the arrival of a call until it is answered, in
 	// nanoseconds.
 	Latency metrics.Timer
+	// CrossDomain counts the bytes to and from other failure domains.
+	CrossDomain *crossdomain.Counters
 }
 
 // NewMetrics registers the metrics of the call path.
@@ -65,6 +69,7 @@
 		Refused: counter("attempts_refused"), CrashedAttempts: counter("upstream_ended"),
 		OverLimit: counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
 		Quarantined: counter("quarantined"), UpstreamCrashes: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
+		CrossDomain: crossdomain.NewCounters(r),
 	}
 }
 
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
 
@@ -27,6 +28,9 @@
 	// unackedTimeout limits how long sent bytes may stay unacknowledged; zero means the
 	// system's default, which is minutes.
 	unackedTimeout time.Duration
+	// crossDomain counts the bytes of the connections for the purposes of their requests; nil:
+	// they are not counted.
+	crossDomain *crossdomain.Counters
 	// tokens holds one token per open connection; nil if their number is unlimited.
 	tokens chan struct{}
 
@@ -38,7 +42,9 @@
 // clientConn is a pooled connection.
 type clientConn struct {
 	net.Conn
-	pool      *pool
+	pool *pool
+	// counted counts the bytes of the connection, or is nil.
+	counted   *crossdomain.Conn
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	idleSince time.Time
@@ -95,6 +101,11 @@
 // connection is aborted, even while the response's body is being read. The caller must
 // close the body.
 func (p *pool) do(ctx context.Context, req *http.Request, check preSendCheck) (*http.Response, error) {
+	return p.doFor(ctx, crossdomain.Uncounted, req, check)
+}
+
+// doFor is do for a request whose bytes are counted for a purpose.
+func (p *pool) doFor(ctx context.Context, purpose crossdomain.Purpose, req *http.Request, check preSendCheck) (*http.Response, error) {
 	began := time.Now()
 	c, err := p.get(ctx)
 	if err != nil {
@@ -104,6 +115,9 @@
 		p.put(c)
 		return nil, &withheldError{reason}
 	}
+	if c.counted != nil {
+		c.counted.SetPurpose(purpose)
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	res, err := c.roundTrip(req)
 	if err != nil {
@@ -216,7 +230,11 @@
 }
 
 func newClientConn(p *pool, conn net.Conn) *clientConn {
-	return &clientConn{Conn: conn, pool: p, br: bufio.NewReader(conn), bw: bufio.NewWriter(conn)}
+	if p.crossDomain == nil {
+		return &clientConn{Conn: conn, pool: p, br: bufio.NewReader(conn), bw: bufio.NewWriter(conn)}
+	}
+	counted := p.crossDomain.Conn(conn, crossdomain.Uncounted)
+	return &clientConn{Conn: conn, pool: p, counted: counted, br: bufio.NewReader(counted), bw: bufio.NewWriter(counted)}
 }
 
 func (p *pool) returnToken() {
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
@@ -48,6 +49,10 @@
 	// onOwnerUnreachable is called for the upstream of an attempt if its owner does not
 	// answer an inquiry about the attempt either.
 	onOwnerUnreachable func(view.Upstream)
+	// domain is the failure domain of this daemon, crossDomain counts the bytes to and from
+	// others; nil: they are not counted.
+	domain      string
+	crossDomain *crossdomain.Counters
 	// suspects is the table of suspects that the whole daemon shares.
 	suspects *suspect.Table
 	// callsCtx is cancelled when attempts must end because the process is about to exit.
@@ -71,6 +76,13 @@
 	}
 }
 
+// countCrossDomain makes r count the bytes to and from failure domains other than this one.
+func (r *remote) countCrossDomain(domain string, c *crossdomain.Counters) {
+	r.domain = domain
+	r.crossDomain = c
+	r.inquiryTransport.DialContext = c.DialContext(r.dialer.DialContext)
+}
+
 // pool returns the connection pool for an owner.
 func (r *remote) pool(owner string) *pool {
 	r.mu.Lock()
@@ -84,6 +96,7 @@
 	}
 	p = newPool(r.dialer, owner, 0, ownerIdleTimeout, Dialect{})
 	p.unackedTimeout = ownerAckTimeout
+	p.crossDomain = r.crossDomain
 	r.owners[owner] = p
 	return p
 }
@@ -108,7 +121,7 @@
 	}
 	interval := r.inquiryInterval(a)
 	timer := time.AfterFunc(interval, func() { r.monitorAttempt(ctx, cancel, u, a, interval) })
-	res, err := p.do(ctx, r.ownerRequest(u, a), func(req *http.Request, waited time.Duration) outcome.Reason {
+	res, err := p.doFor(ctx, r.purpose(u, a), r.ownerRequest(u, a), func(req *http.Request, waited time.Duration) outcome.Reason {
 		return setTimeHeaders(ctx, req.Header, a, waited)
 	})
 	timer.Stop()
@@ -119,6 +132,19 @@
 	return r.parseResult(res, cancel)
 }
 
+// purpose returns the purpose for which the bytes of an attempt are counted.
+func (r *remote) purpose(u view.Upstream, a *Attempt) crossdomain.Purpose {
+	switch {
+	case u.Domain == r.domain:
+		return crossdomain.Uncounted
+	case a.Retry:
+		return crossdomain.Retries
+	case a.Nested:
+		return crossdomain.Nested
+	}
+	return crossdomain.Calls
+}
+
 // ownerRequest returns the HTTP request that carries the attempt to the upstream's owner,
 // without the headers that setTimeHeaders sets.
 func (r *remote) ownerRequest(u view.Upstream, a *Attempt) *http.Request {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/quota"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -86,7 +87,7 @@
 func New(cfg Config) *Limiter {
 	return &Limiter{
 		domain: cfg.Domain, localLimiter: quota.NewLocalLimiter(), coordinator: quota.NewCoordinator(cfg.Tolerance), logger: cfg.Logger,
-		client:   &http.Client{Timeout: coordinatorTimeout, Transport: &http.Transport{DialContext: cfg.Dialer.DialContext, IdleConnTimeout: idleConnTimeout}},
+		client:   &http.Client{Timeout: coordinatorTimeout, Transport: &http.Transport{DialContext: crossdomain.NewCounters(cfg.Metrics).DialContext(cfg.Dialer.DialContext), IdleConnTimeout: idleConnTimeout}},
 		requests: metrics.GetOrRegisterCounter("limits.asks", cfg.Metrics), failedRequests: metrics.GetOrRegisterCounter("limits.asks_failed", cfg.Metrics),
 		reportNow: make(chan struct{}, 1), waiters: map[string][]chan bool{},
 	}
@@ -260,7 +261,7 @@
 			}
 			requestedAt := boottime.Now()
 			var leasedRates map[string]float64
-			if err := l.post(ctx, other, PathLeases, request, &leasedRates); err != nil {
+			if err := l.post(crossdomain.WithPurpose(ctx, crossdomain.Limits), other, PathLeases, request, &leasedRates); err != nil {
 				l.logger.Debug().Str("step", "borrow").Str("peer", other.Daemon).Err(err).Msg("limit coordinator did not answer the lease request; skipping it")
 				continue
 			}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/system"
 	"github.com/comfreygate/comfreygate/internal/table"
@@ -40,8 +41,11 @@
 	sink    Sink
 	clock   *event.Clock
 	metrics metrics.Registry
-	dialer  net.Dialer
-	lastID  atomic.Uint64
+	// domain is the failure domain of this daemon, crossDomain counts the bytes to and from others.
+	domain      string
+	crossDomain *crossdomain.Counters
+	dialer      net.Dialer
+	lastID      atomic.Uint64
 
 	mu     sync.Mutex
 	conns  map[table.LinkID]*conn
@@ -57,16 +61,18 @@
 	id        table.LinkID
 	rpc       *jsonrpc2.Conn
 	raw       net.Conn
+	dialed    bool
+	counted   *crossdomain.Conn
 	queue     chan wire.Message
 	done      chan struct{}
 	closeOnce sync.Once
 }
 
-// New returns a transport that reports to sink. Outgoing connections use source as
-// their local address, or any address if source is nil.
-func New(sink Sink, clock *event.Clock, source net.Addr, r metrics.Registry) *Transport {
+// New returns a transport for a daemon of the failure domain that reports to sink. Outgoing
+// connections use source as their local address, or any address if source is nil.
+func New(domain string, sink Sink, clock *event.Clock, source net.Addr, r metrics.Registry) *Transport {
 	return &Transport{
-		sink: sink, clock: clock, metrics: r, conns: map[table.LinkID]*conn{},
+		sink: sink, clock: clock, metrics: r, domain: domain, crossDomain: crossdomain.NewCounters(r), conns: map[table.LinkID]*conn{},
 		dialer: net.Dialer{Timeout: dialTimeout, LocalAddr: source},
 	}
 }
@@ -99,8 +105,12 @@
 
 // register adds an open connection, reports it and starts its goroutines.
 func (t *Transport) register(raw net.Conn, opened system.Opened) {
+	purpose := crossdomain.Uncounted
+	if opened.Dialed {
+		purpose = crossdomain.Undecided
+	}
 	c := &conn{
-		id: table.LinkID(t.lastID.Add(1)), raw: raw,
+		id: table.LinkID(t.lastID.Add(1)), raw: raw, dialed: opened.Dialed, counted: t.crossDomain.Conn(raw, purpose),
 		queue: make(chan wire.Message, queueLen), done: make(chan struct{}),
 	}
 	opened.Link = c.id
@@ -113,7 +123,7 @@
 	t.conns[c.id] = c
 	t.mu.Unlock()
 	t.sink(opened)
-	stream := newStream(&countedConn{Conn: raw, in: t.counter("control.bytes_in"), out: t.counter("control.bytes_out")})
+	stream := newStream(&countedConn{Conn: c.counted, in: t.counter("control.bytes_in"), out: t.counter("control.bytes_out")})
 	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &handler{transport: t, conn: c}, jsonrpc2.SetLogger(discardLogger))
 	go t.writeLoop(c)
 	go t.watch(c)
@@ -214,6 +224,18 @@
 	return metrics.GetOrRegisterCounter(name, t.metrics)
 }
 
+// setPurpose sets the purpose of the bytes of a connection that this daemon dialed, once its peer
+// has named its failure domain.
+func (t *Transport) setPurpose(c *conn, h wire.Hello) {
+	switch {
+	case !c.dialed:
+	case h.Domain == t.domain:
+		c.counted.SetPurpose(crossdomain.Uncounted)
+	default:
+		c.counted.SetPurpose(crossdomain.Control)
+	}
+}
+
 type handler struct {
 	transport *Transport
 	conn      *conn
@@ -237,6 +259,9 @@
 		h.transport.closeConn(h.conn)
 		return
 	}
+	if hello, ok := m.(wire.Hello); ok {
+		h.transport.setPurpose(h.conn, hello)
+	}
 	h.transport.clock.Observe(env.Clock)
 	h.transport.sink(system.Received{Link: h.conn.id, Message: m})
 }
