Fleet test of limits with callers that return after a 429

The fleet in virtual time had no callers that come back, so it could not show which calls within a limit are refused because others return.

Callers may now send a refused call once more, after the retry-after but no later than after a third of the time that they have left. A plain token bucket of the whole limit sees the first arrivals; the tally compares the calls that it admits with those that the fleet admits: how many fewer in each second, and which part of the same calls was refused.

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -25,6 +25,18 @@
 	workspaces []*workspace
 	// partitioned holds the failure domains that are partitioned from all others.
 	partitioned map[int]bool
+	// callersReturn is set if callers send a refused call once more.
+	callersReturn bool
+}
+
+// call is a call of a workspace, which its caller may send twice.
+type call struct {
+	workspace *workspace
+	deadline  time.Duration
+	// returning is set once the call was refused and sent again.
+	returning bool
+	// inReference is set if the reference bucket admitted the call.
+	inReference bool
 }
 
 type daemon struct {
@@ -34,9 +46,9 @@
 	// requestInterval is the interval at which the coordinator requests leases.
 	requestInterval time.Duration
 	down            bool
-	// waiting are the workspaces of the calls that wait for a grant; reporting is set
-	// while a report is in flight.
-	waiting   []*workspace
+	// waiting are the calls that wait for a grant; reporting is set while a report is in
+	// flight.
+	waiting   []*call
 	reporting bool
 }
 
@@ -60,6 +72,10 @@
 	singleDaemon bool
 	// admitted are the times of the admitted calls, offered those of all calls.
 	admitted, offered []time.Duration
+	// limitFrom is when the workspace's limit was last changed.
+	limitFrom time.Duration
+	reference referenceBucket
+	tally     tally
 }
 
 type event struct {
@@ -104,6 +120,11 @@
 var fleetTolerance = Tolerance{Window: 5 * time.Second, Fraction: 0.1, Calls: 20}
 
 func newFleet(n, domains int, seed uint64) *fleet {
+	return newFleetWithLoad(n, domains, callsPerDaemon*float64(n), seed)
+}
+
+// newFleetWithLoad returns a fleet at which the given number of calls per second arrive.
+func newFleetWithLoad(n, domains int, callsPerSecond float64, seed uint64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, limits: map[string]Limit{}, partitioned: map[int]bool{}}
 	for i := range domains {
 		f.domains = append(f.domains, &domain{index: i})
@@ -113,7 +134,7 @@
 		total += math.Pow(float64(i+1), -fleetSkew)
 	}
 	for i := range fleetWorkspaces {
-		s := &workspace{name: fmt.Sprint("ws", i), usualRate: callsPerDaemon * float64(n) * math.Pow(float64(i+1), -fleetSkew) / total, rateFactor: 1, homeDomain: -1}
+		s := &workspace{name: fmt.Sprint("ws", i), usualRate: callsPerSecond * math.Pow(float64(i+1), -fleetSkew) / total, rateFactor: 1, homeDomain: -1}
 		f.workspaces = append(f.workspaces, s)
 		f.limits[s.name] = Limit{Rate: math.Ceil(fleetLimitFactor * s.usualRate), Burst: math.Ceil(fleetLimitFactor * s.usualRate)}
 	}
@@ -169,13 +190,46 @@
 		return
 	}
 	s.offered = append(s.offered, f.now)
-	switch v, _ := d.limiter.Admit(f.now, s.name, f.limits[s.name], len(f.daemons)); v {
+	c := &call{workspace: s, deadline: f.now + callTimeout, inReference: s.reference.admit(f.now, f.limits[s.name])}
+	s.tally.arrived(f.now, c)
+	f.send(c, d)
+}
+
+// send delivers a call to a daemon.
+func (f *fleet) send(c *call, d *daemon) {
+	s := c.workspace
+	switch v, retryAfter := d.limiter.Admit(f.now, s.name, f.limits[s.name], len(f.daemons)); v {
 	case Admitted:
-		s.admitted = append(s.admitted, f.now)
+		f.admit(c)
 	case NeedsGrant:
-		d.waiting = append(d.waiting, s)
+		d.waiting = append(d.waiting, c)
 		f.report(d, false)
+	case Denied:
+		f.refuse(c, retryAfter)
+	}
+}
+
+func (f *fleet) admit(c *call) {
+	c.workspace.admitted = append(c.workspace.admitted, f.now)
+	c.workspace.tally.admitted(f.now, c)
+}
+
+// refuse tells a caller that its call is over the limit. The caller sends the call once
+// more after the retry-after, but no later than after a third of the time that it has left.
+func (f *fleet) refuse(c *call, retryAfter time.Duration) {
+	c.workspace.tally.refused(f.now, c)
+	if !f.callersReturn || c.returning {
+		return
 	}
+	f.after(min(retryAfter, (c.deadline-f.now)/3), func() {
+		c.returning = true
+		for range f.daemons {
+			if d := f.daemons[f.rng.IntN(len(f.daemons))]; !d.down {
+				f.send(c, d)
+				return
+			}
+		}
+	})
 }
 
 // report sends a report to the coordinator; periodic says that it is the regular one.
@@ -190,8 +244,8 @@
 	d.waiting, d.reporting = nil, true
 	r := d.limiter.Report()
 	r.Wanted = map[string]int{}
-	for _, s := range waiting {
-		r.Wanted[s.name]++
+	for _, c := range waiting {
+		r.Wanted[c.workspace.name]++
 	}
 	coordinator, requestedAt := d.domain.coordinator, f.now
 	f.after(f.messageDelay(), func() {
@@ -204,7 +258,7 @@
 	})
 }
 
-func (f *fleet) handleReply(d *daemon, requestedAt time.Duration, waiting []*workspace, r Report, reply *Reply) {
+func (f *fleet) handleReply(d *daemon, requestedAt time.Duration, waiting []*call, r Report, reply *Reply) {
 	d.reporting = false
 	if d.down {
 		return
@@ -215,13 +269,14 @@
 	} else {
 		d.limiter.HandleReply(requestedAt, *reply)
 	}
-	for _, s := range waiting {
-		if reply.Granted[s.name] > 0 {
-			reply.Granted[s.name]--
-			s.admitted = append(s.admitted, f.now)
-			d.limiter.RecordGranted(f.now, s.name)
+	for _, c := range waiting {
+		name := c.workspace.name
+		if reply.Granted[name] > 0 {
+			reply.Granted[name]--
+			f.admit(c)
+			d.limiter.RecordGranted(f.now, name)
 		} else {
-			d.limiter.RecordDenied(f.now, s.name)
+			f.refuse(c, d.limiter.RecordDenied(f.now, name))
 		}
 	}
 	if len(d.waiting) > 0 {
@@ -273,6 +328,9 @@
 		l := f.limits[s.name]
 		allowed := (l.Rate*t.Window.Seconds()+l.Burst)*(1+t.Fraction) + t.Calls
 		for i, at := range s.admitted {
+			if at < s.limitFrom {
+				continue
+			}
 			j, _ := slices.BinarySearch(s.admitted, at+t.Window)
 			if x := (float64(j-i) - allowed) / allowed; x > worst {
 				worst, name = x, s.name
