Limits allow their whole burst at once, and in each window

Half of a burst was added to the rate, spread over the window, and only the other half could come at once. A workspace that sends little and then its whole burst had calls refused that its limit allows.

The coordinator's bucket now admits what a plain token bucket of its part of the limit admits, and more where the calls of the window leave room; that is spread over the window as before. Each window still gets at most the rate and the burst.

TestLeasesNeverAddUpToMoreThanTheLimit compares with the rate alone now, as no burst is added to it: stricter than before.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -58,10 +58,6 @@
 }
 
 const (
-	// evenBurstFraction is the fraction of a burst that is added to the rate, spread evenly
-	// over the window: a limit allows its burst in each window, not just once. The rest
-	// of the burst may come at once.
-	evenBurstFraction = 0.5
 	// toleranceCallsFraction is the fraction of Tolerance.Calls that buckets hold beyond
 	// their burst: the calls of a workspace that sends few come in clusters. The rest,
 	// and Tolerance.Fraction, cover calls that are admitted before the coordinator learns of
@@ -102,8 +98,7 @@
 
 // bucket is a workspace's token bucket, with the workspace's demand and leases.
 type bucket struct {
-	tokens    float64
-	updatedAt time.Duration
+	tokenBucket
 	// demand is how many calls arrive per second; denied is how many of them get no
 	// grant.
 	demand, denied      float64
@@ -133,15 +128,15 @@
 	c.lastReportAt = now
 	for name, n := range r.Used {
 		if b := c.bucket(now, name); b != nil {
-			b.tokens = min(b.tokens-float64(n), c.capacity(name))
+			b.spend(float64(n))
 			b.demand += float64(max(0, n)) / demandAverageSeconds
 		}
 	}
 	reply := Reply{Granted: map[string]int{}, RetryAfterMS: map[string]int64{}}
 	for name, n := range r.Wanted {
 		if b := c.bucket(now, name); b != nil {
-			granted := max(0, min(n, int(math.Floor(b.tokens))))
-			b.tokens -= float64(granted)
+			granted := max(0, min(n, int(math.Floor(b.tokens()))))
+			b.spend(float64(granted))
 			b.demand += float64(n) / demandAverageSeconds
 			b.denied += float64(n-granted) / demandAverageSeconds
 			reply.Granted[name] = granted
@@ -151,9 +146,9 @@
 	}
 	for name := range c.buckets {
 		switch b := c.bucket(now, name); {
-		case b.tokens < c.grantThreshold(name, b, now):
+		case b.tokens() < c.grantThreshold(name, b, now):
 			reply.RetryAfterMS[name] = c.retryAfter(b, name, now).Milliseconds()
-		case b.idle() && b.tokens >= c.capacity(name):
+		case b.idle() && b.full():
 			delete(c.buckets, name) // equal to a new bucket
 		}
 	}
@@ -171,7 +166,8 @@
 func (c *Coordinator) startCounting(now time.Duration) {
 	c.startedAt = now
 	for _, b := range c.buckets {
-		b.tokens, b.demand, b.denied, b.updatedAt = 0, 0, 0, now
+		b.reset(now, 0)
+		b.demand, b.denied = 0, 0
 	}
 }
 
@@ -180,18 +176,20 @@
 	if c.limits[name].Rate == 0 {
 		return nil
 	}
+	capacity := c.capacity(name)
 	b := c.buckets[name]
 	if b == nil {
-		b = &bucket{updatedAt: c.startedAt}
+		b = &bucket{tokenBucket: newTokenBucket(c.startedAt, c.tolerance.Window, capacity, 0)}
 		c.buckets[name] = b
 	}
-	elapsedSeconds := (now - b.updatedAt).Seconds()
-	if elapsedSeconds > 0 {
-		b.tokens = min(b.tokens+elapsedSeconds*c.rate(name, b, now), c.capacity(name))
+	if elapsedSeconds := (now - b.updatedAt).Seconds(); elapsedSeconds > 0 {
 		decay := math.Exp(-elapsedSeconds / demandAverageSeconds)
 		b.demand *= decay
 		b.denied *= decay
-		b.updatedAt = now
+	}
+	b.refill(now, c.rate(name, b, now))
+	if b.capacity != capacity {
+		b.setCapacity(now, capacity)
 	}
 	return b
 }
@@ -203,12 +201,7 @@
 
 // ownRate is this failure domain's part of a limit, without leases, in calls per second.
 func (c *Coordinator) ownRate(name string, now time.Duration) float64 {
-	limit := c.limits[name]
-	rate := limit.Rate
-	if windowSeconds := c.tolerance.Window.Seconds(); windowSeconds > 0 {
-		rate += evenBurstFraction * limit.Burst / windowSeconds
-	}
-	rate /= float64(c.domains)
+	rate := c.limits[name].Rate / float64(c.domains)
 	if now-c.startedAt < LeaseDuration {
 		rate *= startupRateFraction
 	}
@@ -217,11 +210,7 @@
 
 // capacity is the most tokens that a bucket holds.
 func (c *Coordinator) capacity(name string) float64 {
-	burst := c.limits[name].Burst
-	if c.tolerance.Window > 0 {
-		burst *= 1 - evenBurstFraction
-	}
-	return max(minCapacity, (burst+toleranceCallsFraction*c.tolerance.Calls)/float64(c.domains))
+	return max(minCapacity, (c.limits[name].Burst+toleranceCallsFraction*c.tolerance.Calls)/float64(c.domains))
 }
 
 // grantThreshold is the number of tokens below which calls need grants.
@@ -232,6 +221,6 @@
 // retryAfter is when a call that got no grant can expect one: once the recently denied
 // calls have been served as well.
 func (c *Coordinator) retryAfter(b *bucket, name string, now time.Duration) time.Duration {
-	wait := (1 - b.tokens + b.denied) / max(c.rate(name, b, now), 1/maxRetryAfter.Seconds())
+	wait := (1 - b.tokens() + b.denied) / max(c.rate(name, b, now), 1/maxRetryAfter.Seconds())
 	return min(max(minRetryAfter, time.Duration(wait*float64(time.Second))), maxRetryAfter)
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -470,9 +470,8 @@
 					sum += c.rate("ws", b, now)
 				}
 			}
-			most := limit.Rate + evenBurstFraction*limit.Burst/fleetTolerance.Window.Seconds()
-			if sum > most*(1+1e-9) {
-				rt.Fatalf("at %v the coordinators give out %.2f calls/s, limit %.2f", now, sum, most)
+			if sum > limit.Rate*(1+1e-9) {
+				rt.Fatalf("at %v the coordinators give out %.2f calls/s, limit %.2f", now, sum, limit.Rate)
 			}
 		}
 		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
