--- a/internal/quota/returning_test.go
+++ b/internal/quota/returning_test.go
@@ -138,6 +138,7 @@
 	{"the largest workspace", 0, (*fleet).exceed},
 	{"a middle workspace", 10, (*fleet).exceed},
 	{"a small workspace", 40, (*fleet).exceed},
+	{"the largest workspace at five times its limit", 0, func(f *fleet, s *workspace) { f.exceedBy(s, 5*fleetLimitFactor) }},
 	{"a limit lowered far below the rate", 3, func(f *fleet, s *workspace) {
 		f.after(excessFrom-f.now, func() { f.setLimit(s, Limit{Rate: s.usualRate / 4, Burst: s.usualRate / 4}) })
 	}},
@@ -153,8 +154,11 @@
 
 // exceed makes a workspace send excessFactor times its usual rate from excessFrom to
 // excessUntil.
-func (f *fleet) exceed(s *workspace) {
-	f.after(excessFrom-f.now, func() { s.rateFactor = excessFactor })
+func (f *fleet) exceed(s *workspace) { f.exceedBy(s, excessFactor) }
+
+// exceedBy is exceed with another multiple of the usual rate.
+func (f *fleet) exceedBy(s *workspace, factor float64) {
+	f.after(excessFrom-f.now, func() { s.rateFactor = factor })
 	f.after(excessUntil-f.now, func() { s.rateFactor = 1 })
 }
 
@@ -379,3 +383,22 @@
 	now += minRetryAfter
 	is.Equal(verdict(Returning), NeedsGrant)
 }
+
+// TestNoCallIsRefusedBecauseOthersReturn plays the same excess without and with callers that
+// return. Of the calls that the reference bucket admits, no larger part may be refused at their
+// first arrival, except maxShortfall. That part is large in both, since which of the first-time
+// calls beyond the limit get a token depends on their order within milliseconds.
+func TestNoCallIsRefusedBecauseOthersReturn(t *testing.T) {
+	refusedFraction := func(callersReturn bool) float64 {
+		f := newFleetWithLoad(65, 3, excessCalls, 1)
+		f.callersReturn = callersReturn
+		f.setFirstTimeFirst()
+		s := returningCases[0].play(f)
+		return float64(s.tally.refusedFirst) / float64(s.tally.reference)
+	}
+	without, with := refusedFraction(false), refusedFraction(true)
+	t.Logf("refused: %.3f without returning calls, %.3f with them", without, with)
+	if with > without+maxShortfall {
+		t.Errorf("%.3f refused, %.3f without returning calls", with, without)
+	}
+}
