comfreyctl help lists the statements; the grammar knows large-answers

Cause: 'comfreyctl help' was a parse error. 'large-answers' was settable in a policy's code but not part of the grammar, so that 'publish policy ... large-answers yes' was refused.

Change: lang.Statements has an example of each form of statement, and comfreyctl prints it without a daemon. A test parses each example; it failed on large-answers before the grammar had it.

--- a/cmd/comfreyctl/main.go
+++ b/cmd/comfreyctl/main.go
@@ -37,6 +37,7 @@
 type cli struct {
 	globals
 	Do       doCmd       `cmd:"" default:"withargs" help:"Run one statement of the language (the default)."`
+	Help     helpCmd     `cmd:"" help:"List the statements of the language, with an example of each."`
 	File     fileCmd     `cmd:"" help:"Run the statement in a file."`
 	Apply    applyCmd    `cmd:"" help:"Publish a change set from a YAML file."`
 	Status   statusCmd   `cmd:"" help:"Show what a daemon has in force."`
--- a/internal/lang/lang_test.go
+++ b/internal/lang/lang_test.go
@@ -115,3 +115,40 @@
 		}
 	}
 }
+
+// TestHelpExamplesParse guards against help that shows statements which are refused, and
+// against help without a kind of statement.
+func TestHelpExamplesParse(t *testing.T) {
+	is := is.New(t)
+	var queries, changes, reseeds, clears, rollouts, aborts int
+	for _, help := range Statements() {
+		s, err := Parse(help.Example)
+		if err != nil {
+			t.Errorf("%q: %v", help.Example, err)
+			continue
+		}
+		for _, kind := range []struct {
+			count *int
+			is    bool
+		}{
+			{&queries, s.Query != nil}, {&changes, len(s.Changes) > 0}, {&reseeds, s.Reseed},
+			{&clears, s.ClearSuspect != ""}, {&rollouts, s.Rollout != nil}, {&aborts, s.AbortRollout != ""},
+		} {
+			if kind.is {
+				*kind.count++
+			}
+		}
+	}
+	is.True(queries > 0 && changes > 0 && reseeds > 0 && clears > 0 && rollouts > 0 && aborts > 0)
+}
+
+// TestParseLargeAnswers guards against an attribute that the setters know and the grammar
+// does not.
+func TestParseLargeAnswers(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("publish policy bulk urgency normal timeout 5s large-answers yes")
+	is.NoErr(err)
+	is.True(s.Changes[0].Policy.LargeAnswers)
+	_, err = Parse("publish policy bulk urgency normal timeout 5s large-answers perhaps")
+	is.True(err != nil)
+}
--- a/internal/lang/statement.go
+++ b/internal/lang/statement.go
@@ -153,7 +153,7 @@
 
 type attrAST struct {
 	Pos    lexer.Position
-	Name   string   `parser:"@( 'ramp' | 'urgency' | 'timeout' | 'retries' | 'repeatable' | 'key' | 'path' | 'to' | 'policy' | 'callers' | 'public' | 'keys' | 'rate' | 'burst' )"`
+	Name   string   `parser:"@( 'ramp' | 'urgency' | 'timeout' | 'retries' | 'repeatable' | 'key' | 'path' | 'to' | 'policy' | 'callers' | 'public' | 'keys' | 'rate' | 'burst' | 'large-answers' )"`
 	Values []string `parser:"@( Word | String ) ( ',' @( Word | String ) )*"`
 }
 
