Orders that make no version say what they did

Cause: 'rollout ...', 'abort rollout ...' and 'clear suspect ...' make no version of the configuration, and comfreyctl answered 'accepted as version 0'.

Change: an outcome has a message, which comfreyctl prints: what was ordered, and the query that shows it. A table's answer may have a note on what it covers.

--- a/api/oas_json_gen.go
+++ b/api/oas_json_gen.go
@@ -58,14 +58,21 @@
 			s.Outcome.Encode(e)
 		}
 	}
+	{
+		if s.Note.Set {
+			e.FieldStart("note")
+			s.Note.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfAnswer = [5]string{
+var jsonFieldsNameOfAnswer = [6]string{
 	0: "kind",
 	1: "version",
 	2: "columns",
 	3: "rows",
 	4: "outcome",
+	5: "note",
 }
 
 // Decode decodes Answer from json.
@@ -155,6 +162,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"outcome\"")
 			}
+		case "note":
+			if err := func() error {
+				s.Note.Reset()
+				if err := s.Note.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"note\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -1110,6 +1127,12 @@
 			s.Reason.Encode(e)
 		}
 	}
+	{
+		if s.Message.Set {
+			e.FieldStart("message")
+			s.Message.Encode(e)
+		}
+	}
 	{
 		if s.BeatenBy.Set {
 			e.FieldStart("beaten_by")
@@ -1118,12 +1141,13 @@
 	}
 }
 
-var jsonFieldsNameOfOutcome = [5]string{
+var jsonFieldsNameOfOutcome = [6]string{
 	0: "command_id",
 	1: "status",
 	2: "version",
 	3: "reason",
-	4: "beaten_by",
+	4: "message",
+	5: "beaten_by",
 }
 
 // Decode decodes Outcome from json.
@@ -1177,6 +1201,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"reason\"")
 			}
+		case "message":
+			if err := func() error {
+				s.Message.Reset()
+				if err := s.Message.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"message\"")
+			}
 		case "beaten_by":
 			if err := func() error {
 				s.BeatenBy.Reset()
--- a/api/oas_schemas_gen.go
+++ b/api/oas_schemas_gen.go
@@ -20,6 +20,8 @@
 	Columns []string   `json:"columns"`
 	Rows    [][]string `json:"rows"`
 	Outcome OptOutcome `json:"outcome"`
+	// What the table covers.
+	Note OptString `json:"note"`
 }
 
 // GetKind returns the value of Kind.
@@ -47,6 +49,11 @@
 	return s.Outcome
 }
 
+// GetNote returns the value of Note.
+func (s *Answer) GetNote() OptString {
+	return s.Note
+}
+
 // SetKind sets the value of Kind.
 func (s *Answer) SetKind(val AnswerKind) {
 	s.Kind = val
@@ -72,6 +79,11 @@
 	s.Outcome = val
 }
 
+// SetNote sets the value of Note.
+func (s *Answer) SetNote(val OptString) {
+	s.Note = val
+}
+
 type AnswerKind string
 
 const (
@@ -641,6 +653,8 @@
 	Status    OutcomeStatus `json:"status"`
 	Version   OptInt64      `json:"version"`
 	Reason    OptString     `json:"reason"`
+	// What an accepted command did if it made no version.
+	Message OptString `json:"message"`
 	// The version that won a race.
 	BeatenBy OptInt64 `json:"beaten_by"`
 }
@@ -665,6 +679,11 @@
 	return s.Reason
 }
 
+// GetMessage returns the value of Message.
+func (s *Outcome) GetMessage() OptString {
+	return s.Message
+}
+
 // GetBeatenBy returns the value of BeatenBy.
 func (s *Outcome) GetBeatenBy() OptInt64 {
 	return s.BeatenBy
@@ -690,6 +709,11 @@
 	s.Reason = val
 }
 
+// SetMessage sets the value of Message.
+func (s *Outcome) SetMessage(val OptString) {
+	s.Message = val
+}
+
 // SetBeatenBy sets the value of BeatenBy.
 func (s *Outcome) SetBeatenBy(val OptInt64) {
 	s.BeatenBy = val
--- a/cmd/comfreyctl/commands.go
+++ b/cmd/comfreyctl/commands.go
@@ -93,6 +93,9 @@
 		}
 	} else if a.Kind == api.AnswerKindTable {
 		printTable(a.Columns, a.Rows)
+		if note, ok := a.Note.Get(); ok {
+			fmt.Println(note)
+		}
 	}
 	if o, ok := a.Outcome.Get(); ok {
 		return g.reportOutcome(o)
@@ -107,7 +110,7 @@
 	switch o.Status {
 	case api.OutcomeStatusAccepted:
 		if g.Output == "table" {
-			fmt.Printf("accepted as version %d (command %s)\n", o.Version.Or(0), o.CommandID)
+			fmt.Println(acceptance(o))
 		}
 	case api.OutcomeStatusValid:
 		if g.Output == "table" {
@@ -125,6 +128,17 @@
 	return nil
 }
 
+// acceptance describes an accepted command: what it did, or the version that it made.
+func acceptance(o api.Outcome) string {
+	if message, ok := o.Message.Get(); ok {
+		return message
+	}
+	if version, ok := o.Version.Get(); ok {
+		return fmt.Sprintf("accepted as version %d (command %s)", version, o.CommandID)
+	}
+	return fmt.Sprintf("accepted (command %s)", o.CommandID)
+}
+
 func printJSON(v interface{ MarshalJSON() ([]byte, error) }) error {
 	b, err := v.MarshalJSON()
 	if err != nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -111,9 +111,9 @@
 	case st.ClearSuspect != "":
 		return h.clearSuspect(st.ClearSuspect)
 	case st.Rollout != nil:
-		return h.rolloutAnswer("rollout", h.agent.OrderRollout(st.Rollout.Service, st.Rollout.Target, st.Rollout.Duration)), nil
+		return h.orderRollout(st.Rollout), nil
 	case st.AbortRollout != "":
-		return h.rolloutAnswer("abort-rollout", h.agent.AbortRollout(st.AbortRollout)), nil
+		return h.abortRollout(st.AbortRollout), nil
 	}
 	cmd := config.Command{
 		ID: req.CommandID.Or(""), Author: req.Author.Or(""), IfVersion: st.IfVersion, Changes: st.Changes,
@@ -193,7 +193,9 @@
 		return nil, &badRequestError{step: "clear suspect", err: errors.Errorf("%q is not a digest of a suspect: 'show suspects' lists them", text)}
 	}
 	out := api.Outcome{CommandID: "clear-suspect", Status: api.OutcomeStatusAccepted}
-	if !h.agent.ClearSuspect(d) {
+	if h.agent.ClearSuspect(d) {
+		out.Message = api.NewOptString("suspect " + d.String() + " cleared; it may run again")
+	} else {
 		out.Status = api.OutcomeStatusRejected
 		out.Reason = api.NewOptString("no upstream has ended under it as far as this daemon knows")
 	}
--- a/internal/admin/rollouts.go
+++ b/internal/admin/rollouts.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreygate/comfreygate/api"
 	"github.com/comfreygate/comfreygate/internal/agent"
+	"github.com/comfreygate/comfreygate/internal/lang"
 	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/platform/store"
 )
@@ -48,10 +49,22 @@
 	return fmt.Sprintf("%d answers, %d failed, %d of %d slow", c.N, c.Failed, c.Slow, c.Timed)
 }
 
+// orderRollout orders a rollout.
+func (h *handler) orderRollout(r *lang.Rollout) *api.Answer {
+	message := fmt.Sprintf("rollout of %s to %s within %v ordered; watch it with: show rollouts %s", r.Service, r.Target, r.Duration, r.Service)
+	return h.rolloutAnswer("rollout", message, h.agent.OrderRollout(r.Service, r.Target, r.Duration))
+}
+
+// abortRollout aborts a service's rollout.
+func (h *handler) abortRollout(service string) *api.Answer {
+	message := fmt.Sprintf("rollout of %s aborted; check with: show rollouts %s", service, service)
+	return h.rolloutAnswer("abort-rollout", message, h.agent.AbortRollout(service))
+}
+
 // rolloutAnswer returns the answer to the order or the abort of a rollout that ended with
 // err. Errors other than a refusal leave open whether the order was stored, so that its
-// status is unknown.
-func (h *handler) rolloutAnswer(id string, err error) *api.Answer {
+// status is unknown. The message says what was done if it was accepted.
+func (h *handler) rolloutAnswer(id, message string, err error) *api.Answer {
 	out := api.Outcome{CommandID: id, Status: api.OutcomeStatusAccepted}
 	var refused *agent.RefusedError
 	switch {
@@ -62,6 +75,8 @@
 	}
 	if err != nil {
 		out.Reason = api.NewOptString(err.Error())
+	} else {
+		out.Message = api.NewOptString(message)
 	}
 	return &api.Answer{Kind: api.AnswerKindOutcome, Version: int64(h.agent.CurrentConfig().Version), Outcome: api.NewOptOutcome(out)}
 }
