show pressure: which resources are scarce, where, since when, and which calls are refused

Cause: operators could not query which resource of which service is scarce.

Change: package pressure counts refusals of the last ten seconds by resource, service or workspace, place and urgency, and keeps the longest wait that owners reported. The ingress reports to it where calls and attempts are refused. Gauges pressure.* count the entries by resource.

--- a/internal/admin/query.go
+++ b/internal/admin/query.go
@@ -10,12 +10,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreygate/comfreygate/api"
 	"github.com/comfreygate/comfreygate/internal/agent"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/lang"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/pressure"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
 )
@@ -24,6 +26,8 @@
 type result struct {
 	columns []string
 	rows    [][]string
+	// note says what the rows cover, where that is less than everything; or empty.
+	note string
 }
 
 func (r *result) add(cells ...string) { r.rows = append(r.rows, cells) }
@@ -34,6 +38,8 @@
 	now             time.Time
 	loads           map[string]outcome.Load
 	unknownCommands []agent.UnknownCommand
+	pressure        []pressure.Row
+	metrics         metrics.Registry
 }
 
 // tables maps the name of a table to the function that returns its rows.
@@ -52,6 +58,7 @@
 	"alarms":   alarms,
 	"suspects": suspects,
 	"rollouts": rollouts,
+	"pressure": pressureTable,
 }
 
 // query answers a query from this daemon's tables.
@@ -61,7 +68,10 @@
 		names := slices.Sorted(maps.Keys(tables))
 		return nil, &badRequestError{step: "query", err: errors.Errorf("no table %q: the tables are %s", q.Table, strings.Join(names, ", "))}
 	}
-	snap := snapshot{now: time.Now(), loads: h.agent.Loads(), unknownCommands: h.agent.UnknownCommands()}
+	snap := snapshot{
+		now: time.Now(), loads: h.agent.Loads(), unknownCommands: h.agent.UnknownCommands(),
+		pressure: h.agent.Pressure(), metrics: h.agent.Metrics(),
+	}
 	var res result
 	var version uint64
 	h.agent.Inspect(func(w *table.World) {
@@ -73,7 +83,11 @@
 	if err != nil {
 		return nil, &badRequestError{step: "query", err: err}
 	}
-	return &api.Answer{Kind: api.AnswerKindTable, Version: int64(version), Columns: res.columns, Rows: rows}, nil
+	answer := &api.Answer{Kind: api.AnswerKindTable, Version: int64(version), Columns: res.columns, Rows: rows}
+	if res.note != "" {
+		answer.Note = api.NewOptString(res.note)
+	}
+	return answer, nil
 }
 
 func filter(r result, q *lang.Query) ([][]string, error) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/comfreygate/comfreygate/internal/limits"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/peer"
+	"github.com/comfreygate/comfreygate/internal/pressure"
 	"github.com/comfreygate/comfreygate/internal/rollout"
 	"github.com/comfreygate/comfreygate/internal/settings"
 	"github.com/comfreygate/comfreygate/internal/suspect"
@@ -75,7 +77,9 @@
 
 	world *table.World
 	// suspects is shared by the entity tables and the call path.
-	suspects   *suspect.Table
+	suspects *suspect.Table
+	// pressure is the call path's table of scarce resources.
+	pressure   *pressure.Table
 	quarantine quarantineReader
 	// view is the view in force. Only the loop goroutine uses it.
 	view      *view.View
@@ -147,6 +151,8 @@
 	a.world = table.New(a.self, params, a.suspects, now, seed)
 	a.transport = peer.New(a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
 	a.configMetrics = newConfigMetrics(a.metrics)
+	a.pressure = pressure.New(time.Now)
+	registerPressure(a.metrics, a.pressure)
 	m := callpath.NewMetrics(a.metrics)
 	limiter := limits.New(limits.Config{
 		Domain: s.FailureDomain, Tolerance: s.Bounds.Tolerance(), Metrics: a.metrics, Logger: opts.Logger,
@@ -161,7 +167,7 @@
 		VM: s.VM, Domain: s.FailureDomain, Caller: s.Platform.Service, MaxBody: s.Calls.MaxBody,
 		ConnectTimeout: time.Duration(s.Calls.ConnectTimeout), Source: s.Listen.SourceAddr(), InquireAfter: time.Duration(s.Calls.InquireAfter),
 		Limits: limiter, MaxConfigAge: time.Duration(s.Bounds.Revoke), RetryRatio: s.Calls.RetryRatio, RetryBurst: s.Calls.RetryBurst, CrossDomainCost: s.Calls.CrossDomainCost,
-		Suspects: a.suspects, Events: a.events, Metrics: m, Logger: opts.Logger, Dialect: opts.Dialect, Now: time.Now, Seed: seed,
+		Suspects: a.suspects, Pressure: a.pressure, Events: a.events, Metrics: m, Logger: opts.Logger, Dialect: opts.Dialect, Now: time.Now, Seed: seed,
 	}, a.owner)
 	return a, nil
 }
@@ -233,6 +239,18 @@
 	return loads
 }
 
+// Pressure returns the scarce resources that this daemon knows of.
+func (a *Agent) Pressure() []pressure.Row { return a.pressure.Rows() }
+
+// registerPressure registers a gauge for each resource: the number of services or workspaces
+// and places at which it is scarce.
+func registerPressure(r metrics.Registry, t *pressure.Table) {
+	for _, resource := range pressure.Resources() {
+		name := "pressure." + strings.ReplaceAll(string(resource), "-", "_")
+		r.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 { return int64(t.Scarce(resource)) }))
+	}
+}
+
 // Start starts the control loop and serves all listeners. The handler admin serves the
 // administration API.
 func (a *Agent) Start(admin http.Handler) {
--- a/internal/callpath/answer.go
+++ b/internal/callpath/answer.go
@@ -37,6 +37,7 @@
 	case outcome.ReasonStale:
 		in.cfg.Metrics.Stale.Inc(1)
 	}
+	in.recordRefusedCall(c, r)
 	in.logRefusal(c, r)
 	in.cfg.Events.Add(event.Event{Kind: kind, Request: c.attempt.Request, Detail: string(r.Reason)})
 	h := w.Header()
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/comfreygate/comfreygate/internal/limits"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/pick"
+	"github.com/comfreygate/comfreygate/internal/pressure"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
@@ -60,6 +61,9 @@
 	// Suspects is the table of suspects that the whole daemon shares. Nil: this ingress
 	// gets a table of its own.
 	Suspects *suspect.Table
+	// Pressure records which calls and attempts are refused for which resource. Nil: this
+	// ingress gets a table of its own.
+	Pressure *pressure.Table
 	Events   *event.Ring
 	Metrics  *Metrics
 	Logger   zerolog.Logger
@@ -117,6 +121,9 @@
 	if cfg.Suspects == nil {
 		cfg.Suspects = suspect.NewTable(cfg.Now)
 	}
+	if cfg.Pressure == nil {
+		cfg.Pressure = pressure.New(cfg.Now)
+	}
 	in := &Ingress{
 		cfg: cfg, owner: owner,
 		remote:        newRemote(&net.Dialer{Timeout: cfg.ConnectTimeout, LocalAddr: cfg.Source}, cfg.InquireAfter, cfg.Events, cfg.Metrics),
--- a/itest/product_test.go
+++ b/itest/product_test.go
@@ -1,6 +1,7 @@
 package itest
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -210,3 +211,67 @@
 	is.Equal(code, 0)
 	is.True(strings.Contains(out, "good"))
 }
+
+// TestOrdersWithoutAVersionSayWhatTheyDid guards against answers to rollout orders that name
+// version 0, which does not exist, and not what was ordered.
+func TestOrdersWithoutAVersionSayWhatTheyDid(t *testing.T) {
+	is := is.New(t)
+	c := harness.New(t)
+	v := c.AddVM("ikeja-1", "ikeja")
+	c.AwaitVersion(v.MustExecute(baseConfig), v)
+	for _, order := range []struct{ statement, want string }{
+		{"rollout tickets to 2.0 within 12s", "rollout of tickets to 2.0 within 12s ordered; watch it with: show rollouts tickets\n"},
+		{"abort rollout tickets", "rollout of tickets aborted; check with: show rollouts tickets\n"},
+	} {
+		out, code := v.RunCtl(order.statement)
+		is.Equal(code, 0)
+		is.Equal(out, order.want)
+	}
+	out, code := v.RunCtl("show", "rollouts", "tickets")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "reverted"))
+}
+
+// TestHelpListsStatements guards against help as a parse error, and against help that needs a
+// daemon.
+func TestHelpListsStatements(t *testing.T) {
+	is := is.New(t)
+	out, code := harness.RunCtl(t, "--address", "127.0.0.1:1", "help")
+	is.Equal(code, 0)
+	for _, statement := range []string{"show daemons", "publish service", "rollout tickets to", "abort rollout", "clear suspect", "dry run", "reseed log"} {
+		if !strings.Contains(out, statement) {
+			t.Errorf("help does not list %q:\n%s", statement, out)
+		}
+	}
+}
+
+// TestShowPressureListsScarceSlots guards against show pressure that misses what refuses calls
+// now, or does not say how many daemons its answer covers.
+func TestShowPressureListsScarceSlots(t *testing.T) {
+	is := is.New(t)
+	c := harness.New(t)
+	v := c.AddVM("ikeja-1", "ikeja")
+	v.AddUpstream("tickets", "-slots", "1", "-delay-ms", "50")
+	c.AwaitVersion(v.MustExecute(baseConfig), v)
+	c.AwaitUpstreams(1, v)
+	out, code := v.RunCtl("show", "pressure")
+	is.Equal(code, 0)
+	is.Equal(out, "RESOURCE  SERVICE  WHERE  SINCE  REFUSED  WAITING\n"+
+		"covers 1 of 1 live daemons: this one, and those that reported a load to it in the last 10s\n")
+	load := harness.StartLoad(8, c.VMs, harness.PostCalls("pressed"))
+	load.AwaitOutcome(t, "not-run", 20)
+	load.Stop()
+	out, code = v.RunCtl("show", "pressure", "where", "where", "=", "ikeja")
+	is.Equal(code, 0)
+	is.True(regexp.MustCompile(`(?m)^slots +tickets +ikeja +\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ +normal \d\d+ `).MatchString(out))
+	metrics, err := http.NewRequest(http.MethodGet, "http://"+v.Addrs.Admin+"/metrics", nil)
+	is.NoErr(err)
+	metrics.Header.Set("Authorization", "Bearer "+harness.Token)
+	res, err := http.DefaultClient.Do(metrics)
+	is.NoErr(err)
+	defer res.Body.Close()
+	var gauges map[string]struct{ Value int64 }
+	_ = json.NewDecoder(res.Body).Decode(&gauges) // timers have values of other types
+	is.True(gauges["pressure.slots"].Value >= 1)
+	is.Equal(gauges["pressure.link"].Value, int64(0))
+}
