Final refusals name the resource that owners refused for

Change: the picker keeps the reason of the refusal that makes it avoid an upstream, and passes it on if it is a lack of capacity. A call that was refused keeps its last owner's reason where the picker only knows that all are full.

--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -133,14 +133,17 @@
 // exhausted returns the result of a call for which no upstream is left to try; refusal
 // says why. If no owner was asked, the caller is told to retry after the time at which
 // the first upstream may be asked again; if the call was refused, not before the time
-// that its last owner gave.
+// that its last owner gave. A refusal that only says that all are full does not replace the
+// resource that the last owner named.
 func (t *callAttempts) exhausted(refusal outcome.Result) outcome.Result {
 	if len(t.upstreams) == 0 {
 		return refusal
 	}
 	r := t.best()
 	if r.Outcome == outcome.NotRun {
-		r.Reason = refusal.Reason
+		if refusal.Reason != outcome.ReasonOverload || !r.RefusedForCapacity() || r.RefusedAsSuspect() {
+			r.Reason = refusal.Reason
+		}
 		r.RetryAfter = max(r.RetryAfter, refusal.RetryAfter)
 	}
 	return r
--- a/internal/callpath/retry_test.go
+++ b/internal/callpath/retry_test.go
@@ -45,6 +45,19 @@
 	is.Equal(refused.exhausted(refusal).RetryAfter, 60*time.Millisecond)
 }
 
+// TestExhaustedCallNamesTheResourceOfItsLastRefusal guards against calls that all owners
+// refused for their links and that are reported as overload, which is the reason where no
+// upstream is left and nothing else is known.
+func TestExhaustedCallNamesTheResourceOfItsLastRefusal(t *testing.T) {
+	is := is.New(t)
+	var calls callAttempts
+	calls.add(view.Upstream{ID: "a0"}, outcome.Refuse(outcome.ReasonLink, 60*time.Millisecond))
+	is.Equal(calls.exhausted(outcome.Refuse(outcome.ReasonOverload, time.Second)).Reason, outcome.ReasonLink)
+	is.Equal(calls.exhausted(outcome.Refuse(outcome.ReasonNoUpstream, time.Second)).Reason, outcome.ReasonNoUpstream)
+	calls.add(view.Upstream{ID: "a1"}, outcome.Refuse(outcome.ReasonDraining, 0))
+	is.Equal(calls.exhausted(outcome.Refuse(outcome.ReasonOverload, time.Second)).Reason, outcome.ReasonOverload)
+}
+
 // TestRefusalAfterAnUnknownAttemptStaysUnknown covers a repeatable call whose first
 // upstream crashed and that was then refused by the owner of the next. The call may have
 // run, but was reported to its caller as not run.
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -52,6 +52,8 @@
 	// avoidUntil is, by urgency, the time until which the owner asked to send no calls. A
 	// refusal says nothing about more urgent calls, which may displace waiting ones.
 	avoidUntil [config.MostUrgent + 1]time.Time
+	// refusedFor is the reason of the owner's last refusal that set avoidUntil.
+	refusedFor outcome.Reason
 	refusals   refusalRates
 	usedAt     time.Time
 }
@@ -117,8 +119,10 @@
 		// The result depends on the request, not on the upstream.
 	case r.Outcome == outcome.NotRun && r.UpstreamUnavailable():
 		st.avoid(config.MostUrgent, p.now().Add(unavailableRetry))
+		st.refusedFor = r.Reason
 	case r.Outcome == outcome.NotRun && r.RetryAfter > 0:
 		st.avoid(urgency, p.now().Add(r.RetryAfter))
+		st.refusedFor = r.Reason
 	case r.Outcome == outcome.Answered && r.Status < 500:
 		st.errorRate -= errorWeight * st.errorRate
 	case r.Outcome != outcome.NotRun && r.Reason != outcome.ReasonCancelled:
--- a/internal/pick/picker_test.go
+++ b/internal/pick/picker_test.go
@@ -191,3 +191,19 @@
 	is.True(!ok)
 	is.Equal(refusal.Reason, outcome.ReasonNoUpstream)
 }
+
+// TestRefusalNamesTheResourceThatOwnersRefusedFor guards against calls that are refused as
+// overload while all owners refuse them for their links: nobody would look at the links.
+func TestRefusalNamesTheResourceThatOwnersRefusedFor(t *testing.T) {
+	is := is.New(t)
+	f := newPickerFixture("a")
+	for i, u := range f.service.Upstreams {
+		f.Observe(u, config.Normal, outcome.Refuse(outcome.ReasonLink, time.Duration(i+1)*30*time.Millisecond))
+	}
+	_, refusal, ok := f.Pick(f.service, Criteria{Urgency: config.Normal, Objective: testObjective})
+	is.True(!ok)
+	is.Equal(refusal, outcome.Refuse(outcome.ReasonLink, 30*time.Millisecond))
+	f.Observe(f.service.Upstreams[0], config.Normal, outcome.Refuse(outcome.ReasonUpstreamRefused, 20*time.Millisecond))
+	_, refusal, _ = f.Pick(f.service, Criteria{Urgency: config.Normal, Objective: testObjective})
+	is.Equal(refusal.Reason, outcome.ReasonOverload) // the upstream's own refusal is none of the owner
+}
