--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -1,12 +1,9 @@
 package callpath
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"time"
 
-	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/pick"
@@ -121,15 +118,13 @@
 // that sets none.
 const defaultObjectiveDivisor = 4
 
-// objectiveOf returns the time within which the calls of a policy should be answered.
-func objectiveOf(p config.Policy) time.Duration {
-	return cmp.Or(p.Objective, p.Timeout/defaultObjectiveDivisor)
-}
-
 // criteria returns what the attempt requires of an upstream, estimated from recent calls
 // of its route. It also sets the attempt's TypicalLatency.
 func (in *Ingress) criteria(c *call, tried []string) pick.Criteria {
-	objective := objectiveOf(c.route.Policy)
+	objective := c.route.Policy.Objective
+	if objective == 0 {
+		objective = c.route.Policy.Timeout / defaultObjectiveDivisor
+	}
 	criteria := pick.Criteria{Urgency: c.attempt.Urgency, Objective: objective, Body: len(c.attempt.Body), Tried: tried}
 	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
 	c.attempt.TypicalLatency = criteria.TypicalLatency
@@ -162,8 +157,8 @@
 			in.picker.RecordAnswer(c.route.Name, size, in.cfg.Now().Sub(began))
 		}
 	}
-	in.recordForRollout(c, u, r)
 	in.recordAttemptPressure(c, u, r)
+	in.recordForRollout(c, u, r)
 	in.picker.Observe(u, a.Urgency, r)
 	if r.Draining && in.picker.SetDraining(u) {
 		logDraining(in.cfg.Logger, a.Upstream, a.Request)
--- a/internal/callpath/pressure.go
+++ b/internal/callpath/pressure.go
@@ -1,6 +1,7 @@
 package callpath
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/outcome"
@@ -37,7 +38,8 @@
 	if !r.HasLoad {
 		return
 	}
-	longWait := objectiveOf(c.route.Policy) / longWaitDivisor
+	policy := c.route.Policy
+	longWait := cmp.Or(policy.Objective, policy.Timeout/defaultObjectiveDivisor) / longWaitDivisor
 	key.Resource = pressure.Slots
 	in.cfg.Pressure.Waited(key, queueWait(r.Load), longWait)
 	key.Resource = pressure.Link
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -67,11 +67,9 @@
 const DefaultRetryAfter = time.Second
 
 // refusal returns the reason why none of a service's upstreams can be used, with the time
-// after which the first of those that sent a retry-after time may be tried again. Its owner's
-// reason is that of the refusal if it was a lack of capacity.
+// after which the first of those that sent a retry-after time may be tried again.
 func (p *Picker) refusal(s *view.Service, c Criteria, now time.Time) outcome.Result {
 	anyLeft, anyReachable, retryAfter := false, false, time.Duration(0)
-	reason := outcome.ReasonOverload
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
 		if p.isDraining(u) {
@@ -83,10 +81,7 @@
 		}
 		anyReachable = true
 		if st := p.stats[u.ID]; st != nil && now.Before(st.avoidUntil[c.Urgency]) {
-			left := st.avoidUntil[c.Urgency].Sub(now)
-			if retryAfter == 0 || left < retryAfter {
-				retryAfter, reason = left, capacityReason(st.refusedFor)
-			}
+			retryAfter = minNonZero(retryAfter, st.avoidUntil[c.Urgency].Sub(now))
 		}
 	}
 	switch {
@@ -97,15 +92,15 @@
 	case retryAfter == 0:
 		return outcome.Refuse(outcome.ReasonOverload, DefaultRetryAfter)
 	}
-	return outcome.Refuse(reason, max(retryAfter, outcome.MinRetryAfter))
+	return outcome.Refuse(p.capacityReason(s, c, now), max(retryAfter, outcome.MinRetryAfter))
 }
 
-// capacityReason returns the reason if it is a lack of capacity, and ReasonOverload otherwise.
-func capacityReason(r outcome.Reason) outcome.Reason {
-	if outcome.Refuse(r, 0).RefusedForCapacity() {
-		return r
+// minNonZero returns the shorter of two times, ignoring zeros.
+func minNonZero(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
 	}
-	return outcome.ReasonOverload
+	return min(a, b)
 }
 
 // cheapest returns the cheapest of the local upstream, two random ones of this failure
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -42,6 +42,8 @@
 	load        outcome.Load
 	loadAt      time.Time
 	errorRate   float64
+	// refusedFor is the reason of the owner's last refusal that keeps calls away from it.
+	refusedFor outcome.Reason
 	// draining is set if the upstream has stated that it is draining; drainingIncarnation is
 	// the incarnation that did.
 	draining            bool
@@ -52,8 +54,6 @@
 	// avoidUntil is, by urgency, the time until which the owner asked to send no calls. A
 	// refusal says nothing about more urgent calls, which may displace waiting ones.
 	avoidUntil [config.MostUrgent + 1]time.Time
-	// refusedFor is the reason of the owner's last refusal that set avoidUntil.
-	refusedFor outcome.Reason
 	refusals   refusalRates
 	usedAt     time.Time
 }
@@ -114,15 +114,14 @@
 		st.rateLimit = r.RateLimit
 	}
 	p.recordRefusal(u.Service, st, urgency, r, p.now())
+	st.recordReason(r)
 	switch {
 	case r.RefusedAsSuspect():
 		// The result depends on the request, not on the upstream.
 	case r.Outcome == outcome.NotRun && r.UpstreamUnavailable():
 		st.avoid(config.MostUrgent, p.now().Add(unavailableRetry))
-		st.refusedFor = r.Reason
 	case r.Outcome == outcome.NotRun && r.RetryAfter > 0:
 		st.avoid(urgency, p.now().Add(r.RetryAfter))
-		st.refusedFor = r.Reason
 	case r.Outcome == outcome.Answered && r.Status < 500:
 		st.errorRate -= errorWeight * st.errorRate
 	case r.Outcome != outcome.NotRun && r.Reason != outcome.ReasonCancelled:
