--- a/itest/cmd/upstreamd/main.go
+++ b/itest/cmd/upstreamd/main.go
@@ -117,7 +117,8 @@
 
 // ServeHTTP runs a request: it appends "run", the request ID, the upstream's ID and the time in
 // Unix milliseconds to the journal, then answers with the request ID followed by the request's body. Query
-// parameters: delay_ms adds a delay; crash_ms crashes the upstream after that time; cut
+// parameters: delay_ms adds a delay; answer_bytes extends the answer to that length by
+// repetitions of the line with the request ID; crash_ms crashes the upstream after that time; cut
 // closes the connection in the middle of the response, which has no Content-Length if the
 // value is "chunked".
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -157,6 +158,11 @@
 		return
 	}
 	response := append([]byte(request+"\n"), body...)
+	size, _ := strconv.Atoi(r.URL.Query().Get("answer_bytes"))
+	if missing := size - len(response); missing > 0 {
+		line := []byte(request + "\n")
+		response = append(response, bytes.Repeat(line, missing/len(line)+1)[:missing]...)
+	}
 	if r.URL.Query().Get("cut") != "chunked" {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 	}
--- a/itest/harness/calls.go
+++ b/itest/harness/calls.go
@@ -32,6 +32,17 @@
 	Caller string
 	Body   string
 	Header map[string]string
+	// AnswerBytes is the answer_bytes parameter of Path, or zero.
+	AnswerBytes int
+}
+
+// wantBody returns the body of the upstream's response to the call.
+func (c Call) wantBody() string {
+	body := c.ID + "\n" + c.Body
+	if missing := c.AnswerBytes - len(body); missing > 0 {
+		body += strings.Repeat(c.ID+"\n", missing/(len(c.ID)+1)+1)[:missing]
+	}
+	return body
 }
 
 // NewCallerClient returns an HTTP client for a caller outside the VMs.
--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -36,6 +36,9 @@
 	VMs      []*VM
 	// Settings holds YAML lines that are added to every daemon's settings.
 	Settings string
+	// LinkMbps is the speed of each VM's link in the daemons' settings, in Mbit/s; zero: no
+	// limit.
+	LinkMbps float64
 	// Probe is the interval at which a daemon compares its state with a random other
 	// daemon. Default: 1s.
 	Probe         string
@@ -135,7 +138,7 @@
   upstream_lapse: 1s
   grace: 1s
   probe: %[9]s
-calls: {drain: 500ms, connect_timeout: 300ms, inquire_after: 300ms}
+calls: {drain: 500ms, connect_timeout: 300ms, inquire_after: 300ms, link_mbps: %[10]v}
 %[8]s
 `
 
@@ -159,7 +162,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", other.Peers.Addr()))
 	}
 	text := fmt.Sprintf(settingsFormat, v.Name, v.Domain, v.IP, v.Peers.Addr(), v.Owner.Addr(),
-		c.LogProxy.Addr(), strings.Join(seeds, ", "), c.Settings, cmp.Or(c.Probe, "1s"))
+		c.LogProxy.Addr(), strings.Join(seeds, ", "), c.Settings, cmp.Or(c.Probe, "1s"), c.LinkMbps)
 	file := c.path(v.Name + ".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		c.T.Fatal(err)
--- a/itest/harness/load.go
+++ b/itest/harness/load.go
@@ -135,8 +135,8 @@
 				t.Errorf("call %s was reported as not run (%s), but ran", id, a.Reason)
 			}
 		case "answered":
-			if want := id + "\n" + call.Body; a.Body != want {
-				t.Errorf("call %s: response body is incomplete or belongs to another call: %q", id, a.Body)
+			if want := call.wantBody(); a.Body != want {
+				t.Errorf("call %s: response body is incomplete or belongs to another call: %d bytes, want %d: %.200q", id, len(a.Body), len(want), a.Body)
 			}
 			if runs[id] == 0 {
 				t.Errorf("call %s was answered, but no upstream ran it", id)
--- a/itest/soak/callers.go
+++ b/itest/soak/callers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,10 +30,11 @@
 	return s.response.Outcome
 }
 
-// callers send calls to all VMs until stopAndCollect is called.
+// callers send calls to VMs until stopAndCollect is called.
 type callers struct {
-	vms     []*harness.VM
-	prefix  string
+	vms []*harness.VM
+	// next returns the n-th call.
+	next    func(n int64) harness.Call
 	sent    atomic.Int64
 	stop    chan struct{}
 	wg      sync.WaitGroup
@@ -43,11 +45,14 @@
 // callInterval is the interval between two calls of a caller.
 const callInterval = 10 * time.Millisecond
 
-func startCallers(n int, vms []*harness.VM, prefix string) *callers {
-	c := &callers{vms: vms, prefix: prefix, stop: make(chan struct{})}
-	for i := range n {
-		c.wg.Add(1)
-		go c.run(i % len(vms))
+// startCallers starts n callers at each of the VMs with these indices.
+func startCallers(n int, vms []*harness.VM, entries []int, next func(n int64) harness.Call) *callers {
+	c := &callers{vms: vms, next: next, stop: make(chan struct{})}
+	for _, vm := range entries {
+		for range n {
+			c.wg.Add(1)
+			go c.run(vm)
+		}
 	}
 	return c
 }
@@ -65,7 +70,7 @@
 			return
 		case <-tick.C:
 		}
-		s := sample{began: time.Now(), vm: vm, call: c.nextCall()}
+		s := sample{began: time.Now(), vm: vm, call: c.next(c.sent.Add(1))}
 		s.response = c.vms[vm].Send(client, s.call)
 		s.ended = time.Now()
 		c.mu.Lock()
@@ -74,11 +79,10 @@
 	}
 }
 
-// nextCall returns the next call. Every third call may be repeated; some calls have long
-// bodies.
-func (c *callers) nextCall() harness.Call {
-	n := c.sent.Add(1)
-	call := harness.PostCalls(c.prefix)(n)
+// shortCall returns the n-th call of the callers of short calls. Every third call may be
+// repeated; some calls have long bodies.
+func shortCall(prefix string, n int64) harness.Call {
+	call := harness.PostCalls(prefix)(n)
 	call.Path += fmt.Sprintf("?delay_ms=%d", n%9)
 	switch {
 	case n%3 == 0:
@@ -97,6 +101,15 @@
 	return c.samples
 }
 
+// tally counts calls by result and reason.
+func tally(samples []sample) map[string]int {
+	counts := map[string]int{}
+	for _, s := range samples {
+		counts[strings.TrimSpace(s.result()+" "+s.response.Reason)]++
+	}
+	return counts
+}
+
 // checkGuarantees compares the calls with the upstreams' journal. It also checks that the
 // versions in the responses of each incarnation of a daemon never decrease, and that no
 // call that ran lost its connection unless its daemon was disrupted at that time.
--- a/itest/soak/soak_test.go
+++ b/itest/soak/soak_test.go
@@ -31,7 +31,9 @@
 const baseConfig = `publish service tickets;
 publish policy plain urgency normal timeout 4s retries 2 repeatable GET;
 publish caller clerk;
-publish route tickets path /tickets to tickets policy plain callers clerk`
+publish route tickets path /tickets to tickets policy plain callers clerk;
+publish policy bulk urgency normal timeout 1s retries 2 repeatable GET large-answers yes;
+publish route downloads path /downloads to tickets policy bulk callers clerk`
 
 // TestSoak runs the seeds that the flags select, or those of CI and of earlier failures.
 func TestSoak(t *testing.T) {
@@ -54,8 +56,10 @@
 func runSeed(t *testing.T, seed uint64) {
 	t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 		length := time.Duration(*seconds) * time.Second
-		s := newSoakRun(t, *vms)
-		load := startCallers(4**vms, s.c.VMs, fmt.Sprint("s", seed))
+		s := newSoakRun(t, *vms, linkOf(seed))
+		prefix := fmt.Sprint("s", seed)
+		load := startCallers(4, s.c.VMs, s.allEntries(), func(n int64) harness.Call { return shortCall(prefix, n) })
+		downloads := s.startDownloads(prefix)
 		poison := startPoison(s.c, seed)
 		began := time.Now()
 		events := newPlan(seed, *vms, length)
@@ -64,19 +68,20 @@
 		poison.stopAndWait()
 		s.checkRecovery()
 		s.checkPoisonQuarantined(poison)
-		samples := load.stopAndCollect()
+		samples := slices.Concat(load.stopAndCollect(), s.collectDownloads(downloads))
 		report(t, seed, began, injected, samples)
 		checkGuarantees(t, s.c, samples, s.disruptions)
 	})
 }
 
 // newSoakRun starts the given number of VMs in three failure domains, with an upstream on
-// two VMs of three.
-func newSoakRun(t *testing.T, vms int) *soakRun {
+// two VMs of three. linkMbps is the speed of the VMs' links; zero: no limit.
+func newSoakRun(t *testing.T, vms int, linkMbps float64) *soakRun {
 	s := &soakRun{
 		t: t, c: harness.New(t), disruptions: newDisruptions(), domainPartitions: map[string]int{}, storePartitions: map[string]int{},
 		upstreams: make([]*harness.Upstream, vms), daemonDown: make([]bool, vms), rules: make([]fault.Rule, vms),
 	}
+	s.c.LinkMbps = linkMbps
 	n := 0
 	for i := range vms {
 		v := s.c.AddVM(fmt.Sprint("vm-", i), []string{"ikeja", "lekki", "yaba"}[i%3])
@@ -92,6 +97,15 @@
 	return s
 }
 
+// allEntries returns the indices of all VMs.
+func (s *soakRun) allEntries() []int {
+	entries := make([]int, len(s.c.VMs))
+	for i := range entries {
+		entries[i] = i
+	}
+	return entries
+}
+
 // injectFaults injects and ends the faults at their times, and returns those that were
 // injected.
 func (s *soakRun) injectFaults(events []faultEvent, began time.Time) []faultEvent {
@@ -151,11 +165,7 @@
 
 // report logs the outcomes and the faults, and writes a plot to the test's artifacts.
 func report(t *testing.T, seed uint64, began time.Time, events []faultEvent, samples []sample) {
-	tally := map[string]int{}
-	for _, s := range samples {
-		tally[s.result()]++
-	}
-	t.Logf("seed %d: %v; %v", seed, tally, events)
+	t.Logf("seed %d: all calls: %v; %v", seed, tally(samples), events)
 	file := filepath.Join(t.ArtifactDir(), fmt.Sprintf("seed-%d.svg", seed))
 	if err := os.WriteFile(file, plot(began, events, samples), 0o600); err != nil {
 		t.Error(err)
