--- a/internal/pick/reason.go
+++ b/internal/pick/reason.go
@@ -9,7 +9,10 @@
 
 // recordReason keeps the reason of a refusal that keeps calls away from the upstream.
 func (st *stats) recordReason(r outcome.Result) {
-	if r.Outcome == outcome.NotRun && !r.RefusedAsSuspect() && (r.UpstreamUnavailable() || r.RetryAfter > 0) {
+	if r.Outcome != outcome.NotRun || r.RefusedAsSuspect() {
+		return
+	}
+	if r.UpstreamUnavailable() || r.RefusedForCapacity() || r.Reason == outcome.ReasonUpstreamRefused {
 		st.refusedFor = r.Reason
 	}
 }
