--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -158,6 +158,7 @@
 			in.picker.RecordAnswer(c.route.Name, size, in.cfg.Now().Sub(began))
 		}
 	}
+	in.recordAttemptPressure(c, u, r)
 	in.recordForRollout(c, u, r)
 	in.picker.Observe(u, a.Urgency, r)
 	if r.Draining && in.picker.SetDraining(u) {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -94,7 +94,7 @@
 	case retryAfter == 0:
 		return outcome.Refuse(outcome.ReasonOverload, DefaultRetryAfter)
 	}
-	return outcome.Refuse(outcome.ReasonOverload, max(retryAfter, outcome.MinRetryAfter))
+	return outcome.Refuse(p.capacityReason(s, c, now), max(retryAfter, outcome.MinRetryAfter))
 }
 
 // minNonZero returns the shorter of two times, ignoring zeros.
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -42,6 +42,8 @@
 	load        outcome.Load
 	loadAt      time.Time
 	errorRate   float64
+	// refusedFor is the reason of the owner's last refusal that keeps calls away from it.
+	refusedFor outcome.Reason
 	// draining is set if the upstream has stated that it is draining; drainingIncarnation is
 	// the incarnation that did.
 	draining            bool
@@ -118,6 +120,7 @@
 		p.recordLink(&u, r.Load.Egress)
 	}
 	p.recordRefusal(u.Service, st, urgency, r, p.now())
+	st.recordReason(r)
 	switch {
 	case r.RefusedAsSuspect():
 		// The result depends on the request, not on the upstream.
