Gate: a share for direct calls where nested calls go first, and separate turns

Where all nested calls go first, a service whose nested calls alone exceed its slots answered no direct call, and direct calls were queued that nested ones then overtook until their deadline.

Nested and direct calls shared start tags, so that a nested call counted as late as the last direct call of its flow. The wait allowed to nested calls was computed from the time that direct calls take, and their retry-after from direct calls that they go before.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -47,8 +47,13 @@
 	// direct is the served fraction of the direct calls, which are those that are not
 	// nested.
 	direct servedAverage
-	// nestedFirst is set if all nested calls go before all direct ones.
+	// nestedFirst is set if all nested calls go before all direct ones. The nested calls then
+	// take turns among themselves, by nestedFlows.
 	nestedFirst bool
+	nestedFlows flows
+	nestedRate  nestedRate
+	// directAt is when the last direct call was admitted.
+	directAt time.Time
 	// lost estimates the attempts in flight that no longer hold a slot at the upstream.
 	lost lostAnswers
 	// rate bounds the attempts per second.
@@ -161,7 +166,7 @@
 	if w.refused == "" {
 		return "", 0
 	}
-	return w.refused, g.RetryAfter()
+	return w.refused, g.RetryAfterOf(a)
 }
 
 // Enter admits, queues or refuses an attempt. The waiter is nil if the decision is final.
@@ -169,24 +174,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed != "" {
-		return nil, g.closed, g.retryAfter()
+		return nil, g.closed, g.retryAfter(a)
 	}
 	if g.inFlight < g.limit() && len(g.queue) == 0 && g.rate.take(g.now()) {
 		g.inFlight++
-		g.recordDirect(a, true)
+		g.recordAdmitted(a)
 		return nil, "", 0
 	}
 	g.arrivals++
 	w := g.newWaiter(a)
 	if !g.mayQueue(w) {
 		g.recordDirect(a, false)
-		return nil, g.capacityReason(), g.retryAfter()
+		return nil, g.capacityReason(), g.retryAfter(a)
 	}
 	if len(g.queue) >= g.maxQueue {
-		g.refuseWaiter(g.queue.last(), g.capacityReason())
-		w.start = g.flows.start(w.Flow)
+		g.refuseWaiter(g.displaced(w), g.capacityReason())
+		w.start = w.flows.start(w.Flow)
 	}
-	g.flows.enqueue(w.Flow, w.start)
+	w.flows.enqueue(w.Flow, w.start)
 	heap.Push(&g.queue, w)
 	g.scheduleAdmission()
 	return w, "", 0
@@ -194,8 +199,10 @@
 
 // newWaiter returns a waiter for an attempt, with its rank.
 func (g *Gate) newWaiter(a Request) *Waiter {
+	f := g.flowsOf(a)
+	now := g.now()
 	return &Waiter{
-		Request: a, rank: rank{urgency: a.Urgency, priority: g.hasPriority(a)}, start: g.flows.start(a.Flow), arrival: g.arrivals, decided: make(chan struct{}),
+		Request: a, rank: rank{urgency: a.Urgency, priority: g.hasPriority(a)}, allowed: a.allowedTime(now), flows: f, start: f.start(a.Flow), arrival: g.arrivals, decided: make(chan struct{}),
 	}
 }
 
@@ -206,11 +213,11 @@
 	defer g.mu.Unlock()
 	switch {
 	case g.closed != "":
-		return g.closed, g.retryAfter()
+		return g.closed, g.retryAfter(a)
 	case g.inFlight < g.limit() && g.rate.wait(g.now(), 1) == 0:
 		return "", 0
 	case !g.mayQueue(g.newWaiter(a)):
-		return g.capacityReason(), g.retryAfter()
+		return g.capacityReason(), g.retryAfter(a)
 	}
 	return "", 0
 }
@@ -249,7 +256,7 @@
 func (g *Gate) admitWaiting() {
 	now := g.now()
 	for len(g.queue) > 0 && g.inFlight < g.limit() {
-		w := g.queue[0]
+		w := g.nextWaiter()
 		if now.After(w.Deadline) {
 			g.refuseWaiter(w, outcome.ReasonDeadline)
 			continue
@@ -259,9 +266,9 @@
 			return
 		}
 		heap.Remove(&g.queue, w.index)
-		g.flows.dequeue(w.start)
+		w.flows.dequeue(w.start)
 		g.inFlight++
-		g.recordDirect(w.Request, true)
+		g.recordAdmitted(w.Request)
 		close(w.decided)
 	}
 }
@@ -301,7 +308,7 @@
 
 func (g *Gate) refuseWaiter(w *Waiter, reason outcome.Reason) {
 	heap.Remove(&g.queue, w.index)
-	g.flows.withdraw(w.Flow, w.start)
+	w.flows.withdraw(w.Flow, w.start)
 	if reason != outcome.ReasonCancelled {
 		g.recordDirect(w.Request, false)
 	}
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -32,6 +32,14 @@
 	g.admitWaiting()
 }
 
+// recordAdmitted counts an attempt that got a slot.
+func (g *Gate) recordAdmitted(a Request) {
+	g.recordDirect(a, true)
+	if g.nestedFirst {
+		g.recordNested(a)
+	}
+}
+
 // recordDirect counts a decision on a direct call. Nested calls do not count, since whether
 // they are served follows from their rank.
 func (g *Gate) recordDirect(a Request, admitted bool) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,6 +34,14 @@
 	Objective time.Time
 }
 
+// allowedTime returns the time until the objective or, without one, the deadline.
+func (a Request) allowedTime(now time.Time) time.Duration {
+	if a.Objective.IsZero() {
+		return a.Deadline.Sub(now)
+	}
+	return a.Objective.Sub(now)
+}
+
 // outranks reports whether r goes before o regardless of the order of arrival.
 func (r rank) outranks(o rank) bool {
 	if r.priority != o.priority {
@@ -46,8 +54,10 @@
 type Waiter struct {
 	Request
 	rank
-	// start is the attempt's start tag among all flows, arrival its number among all
-	// arrivals.
+	// allowed is the time from the arrival until the objective, or else the deadline.
+	allowed time.Duration
+	// start is the attempt's start tag among flows, arrival its number among all arrivals.
+	flows   *flows
 	start   uint64
 	arrival uint64
 	decided chan struct{}
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -44,8 +44,18 @@
 	if len(g.queue) < g.maxQueue {
 		return true
 	}
-	last := g.queue.last()
-	return last != nil && w.before(last)
+	return g.displaced(w) != nil
+}
+
+// displaced returns the waiter in a full queue that a new one takes the place of, or nil.
+func (g *Gate) displaced(w *Waiter) *Waiter {
+	if g.nestedFirst {
+		return g.displacedNestedFirst(w)
+	}
+	if last := g.queue.last(); last != nil && w.before(last) {
+		return last
+	}
+	return nil
 }
 
 // minWaitFraction is the wait that is always allowed, as a fraction of the service time,
@@ -72,6 +82,9 @@
 	if a.Objective.IsZero() {
 		return untilDeadline
 	}
+	if a.Nested && g.nestedFirst {
+		return min(untilDeadline, g.maxNestedWait(a.Objective.Sub(now)))
+	}
 	allowed := max(maxWaitFraction*float64(a.Objective.Sub(now)-g.meanService), minWaitFraction*float64(g.meanService))
 	if a.Nested && !g.hasPriority(a) {
 		allowed *= a.WaitFraction
@@ -81,12 +94,19 @@
 
 // expectedWait estimates how long an attempt would wait to be admitted.
 func (g *Gate) expectedWait(w *Waiter) time.Duration {
-	ahead := 1
+	ahead, direct := 1, 1
 	for _, q := range g.queue {
-		if q.before(w) {
-			ahead++
+		if !q.before(w) {
+			continue
+		}
+		ahead++
+		if !q.Nested {
+			direct++
 		}
 	}
+	if g.nestedFirst && !w.Nested {
+		return g.directWaitFor(w, ahead, direct)
+	}
 	return g.waitFor(ahead)
 }
 
@@ -97,13 +117,21 @@
 }
 
 // RetryAfter is the time until the attempts that are queued now will have been admitted.
-func (g *Gate) RetryAfter() time.Duration {
+func (g *Gate) RetryAfter() time.Duration { return g.RetryAfterOf(Request{}) }
+
+// RetryAfterOf is the time until those attempts that are queued now and would go before the
+// given one will have been admitted.
+func (g *Gate) RetryAfterOf(a Request) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryAfter()
+	return g.retryAfter(a)
 }
 
-// retryAfter is RetryAfter for callers that hold the mutex.
-func (g *Gate) retryAfter() time.Duration {
-	return min(max(g.waitFor(len(g.queue)+1), outcome.MinRetryAfter), outcome.MaxRetryAfter)
+// retryAfter is RetryAfterOf for callers that hold the mutex.
+func (g *Gate) retryAfter(a Request) time.Duration {
+	ahead := len(g.queue)
+	if g.nestedFirst && a.Nested {
+		ahead = g.queue.nested()
+	}
+	return min(max(g.waitFor(ahead+1), outcome.MinRetryAfter), outcome.MaxRetryAfter)
 }
