Runs are limited while their nested calls are refused

A request whose run makes nested calls was admitted without regard to whether they can be served. Where load control is in force, the owner counts the runs of a route whose nested call was refused or found no upstream, and refuses new ones with nested-overload by runs.Limiter. The ingress does not try another owner for it, nor for an overload whose retry-after lies beyond the deadline.

Refusals of direct calls kept nested calls away from owners with room for them and used up the budget for trying other owners. Nested calls now have their own refusal rates and refusal budget.

The fleet simulation has the mesh of three services, peaks and load control.

--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -120,6 +120,9 @@
 	// WaitFraction is the result of Dialect.waitFraction for Request. It is set on nested
 	// calls only.
 	WaitFraction float64
+	// parent is the request that makes a nested call; nil if the call is not nested. It is
+	// set at the ingress only.
+	parent *parentRequest
 	// RateLimit is the upstream's rate limit in requests per second, as far as the ingress
 	// knows; zero: none. An owner that has just started knows none itself.
 	RateLimit float64
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -91,6 +91,9 @@
 	// sent counts the calls of the kind, inTime, late, refused and failed count their
 	// results, and callerRetries counts the calls that callers sent again after a refusal.
 	sent, inTime, late, refused, failed, callerRetries int
+	// bySecond counts the calls that are not nested by the second in which they were first
+	// sent.
+	bySecond map[int]*simSecond
 }
 
 // simCall is a caller's request, including the times it is sent again.
@@ -154,6 +157,7 @@
 	largeShare float64
 	speeds     []float64
 	kinds      []*simKind
+	simLoadControl
 }
 
 const (
@@ -231,13 +235,16 @@
 		if i >= large {
 			vm.service = "small"
 		}
+		vm.service = load.serviceOf(i, vm.service)
 		s.startOwner(vm)
 		vm.simUpstream = newSimUpstream(clock)
+		s.startLoadControl(vm, m, clock)
 		vm.ingress = NewIngress(IngressConfig{
 			Limits: testLimits(),
 			VM:     vm.id, Suspects: vm.suspects, Domain: vm.domain, RetryRatio: 0.2, RetryBurst: 3, CrossDomainCost: 40, Dialect: DefaultDialect(),
 			Events: events, Metrics: m, Logger: zerolog.Nop(), Now: clock, Seed: seed*1000 + uint64(i),
 		}, nil)
+		vm.ingress.view.Store(&view.View{LoadControl: load.loadControl})
 		s.vms = append(s.vms, vm)
 		s.byID[vm.id] = vm
 	}
@@ -271,8 +278,9 @@
 	if k.ratePerVM == 0 {
 		return
 	}
-	s.after(time.Duration(s.rng.ExpFloat64()/k.ratePerVM*float64(time.Second)), func() {
+	s.after(time.Duration(s.rng.ExpFloat64()/(k.ratePerVM*s.peakFactor())*float64(time.Second)), func() {
 		k.sent++
+		s.second(k, s.now).sent++
 		s.sendCall(&simCall{kind: k, vm: vm, firstSent: s.now, deadline: s.now.Add(k.deadline), path: s.newPath(k)})
 		s.arrivals(vm, k)
 	})
@@ -292,16 +300,17 @@
 		case r.Outcome == outcome.Answered && r.Status < 500:
 			if took <= k.route.Policy.Objective {
 				k.inTime++
+				s.second(k, sc.firstSent).inTime++
 			} else {
 				k.late++
 			}
-		case r.Outcome == outcome.NotRun && sc.callerRetries < maxCallerRetries && left > 0:
+		case r.Outcome == outcome.NotRun && sc.callerRetries < s.load.callerRetries() && left > 0:
 			sc.callerRetries++
 			k.callerRetries++
-			s.after(min(r.RetryAfter, left/3), func() { s.sendCall(sc) })
+			s.after(min(s.load.callerWait(r.RetryAfter), left/3), func() { s.sendCall(sc) })
 		case r.Outcome == outcome.NotRun:
 			k.refused++
-		case sc.callerRetries < maxCallerRetries && k.route.Policy.Repeatable != nil && left > 0:
+		case sc.callerRetries < s.load.callerRetries() && k.route.Policy.Repeatable != nil && left > 0:
 			sc.callerRetries++
 			s.sendCall(sc)
 		default:
@@ -315,15 +324,13 @@
 	in := vm.ingress
 	c := &call{route: k.route, service: vm.services[k.service], attempt: Attempt{
 		Urgency: k.route.Policy.Urgency, Deadline: deadline, Objective: objective, Repeatable: k.route.Policy.Repeatable != nil,
-		Body: make([]byte, 0), Method: http.MethodGet, URL: &url.URL{Path: path}, Caller: vm.service,
+		Body: make([]byte, 0), Method: http.MethodGet, URL: &url.URL{Path: path}, Caller: vm.service, Request: path,
 	}}
 	if parent != nil {
 		c.attempt.Nested, c.attempt.Urgency, c.attempt.ParentServedPermille = true, parent.urgency, int(permille*parent.vm.gate.ServedFraction())
-		c.attempt.WaitFraction, c.attempt.Repeated = parent.waitFraction, parent.repeated
-	}
-	for _, b := range []*budget{in.retryBudget, in.refusalBudget, in.failureBudget} {
-		b.earn(c.service.Name)
+		c.attempt.WaitFraction, c.attempt.Repeated, c.attempt.parent = parent.waitFraction, parent.repeated, parent.request
 	}
+	in.earn(c)
 	if c.attempt.Repeated {
 		in.retryBudget.charge(c.service.Name)
 	} else {
@@ -373,7 +380,7 @@
 				if r.Outcome == outcome.Answered {
 					in.picker.RecordAnswer(c.route.Name, 5000, s.now.Sub(began))
 				}
-				in.picker.Observe(u, c.attempt.Urgency, r)
+				in.picker.Observe(u, in.rankUrgency(&c.attempt), r)
 				in.picker.Finished(u)
 				t.add(u, r)
 				if !in.mayRetry(c, t) {
@@ -401,6 +408,10 @@
 		refuse(reason, 0)
 		return
 	}
+	if r, ok := to.owner.admitRun(to.local, &c.attempt); !ok {
+		reply(r)
+		return
+	}
 	w, reason, after := to.gate.Enter(req)
 	switch {
 	case w == nil && reason == "":
@@ -410,7 +421,7 @@
 	default:
 		to.waiting = append(to.waiting, &simWait{waiter: w, onDecision: func(reason outcome.Reason) {
 			if reason != "" {
-				refuse(reason, to.gate.RetryAfter())
+				refuse(reason, to.gate.RetryAfterOf(req))
 				return
 			}
 			s.runAttempt(to, k, c, req, reply)
@@ -448,6 +459,7 @@
 	repeated     bool
 	urgency      config.Urgency
 	vm           *simVM
+	request      *parentRequest
 }
 
 // runAttempt runs an admitted attempt at an upstream.
@@ -473,7 +485,7 @@
 	factor := math.Exp(sigma*s.rng.NormFloat64() - sigma*sigma/2)
 	took := time.Duration(float64(k.work) * factor / vm.speed * s.slowdown(vm))
 	began := s.now
-	parent := &simParent{urgency: a.Urgency, vm: vm, waitFraction: s.rng.Float64(), repeated: c.attempt.Repeated}
+	parent := &simParent{urgency: a.Urgency, vm: vm, waitFraction: s.rng.Float64(), repeated: c.attempt.Repeated, request: &parentRequest{}}
 	finished := false
 	finish, refusal := s.startRun(vm, k, c, func() {
 		finished = true
@@ -496,7 +508,9 @@
 		known.observe(s.now, began, vm.stated)
 		load := gate.LoadAfter(spent)
 		gate.Release(spent)
-		reply(outcome.Result{Outcome: outcome.Answered, Status: status, Body: http.NoBody, Load: load, HasLoad: true, RateLimit: gate.Rate()})
+		r := outcome.Result{Outcome: outcome.Answered, Status: status, Body: http.NoBody, Load: load, HasLoad: true, RateLimit: gate.Rate()}
+		vm.owner.recordRun(vm.local, &c.attempt, parent.request, began, r)
+		reply(r)
 		s.deliverDecisions(vm)
 	}
 	pending := 1
@@ -506,7 +520,7 @@
 		}
 	}
 	calls := 0
-	if k.nestedKind != nil && s.rng.Float64() < k.nestedShare {
+	if k.nestedKind != nil && s.nestedDraw(c) < k.nestedShare {
 		calls = k.nestedCalls
 	}
 	pending += calls
@@ -547,6 +561,7 @@
 		deadline = own
 	}
 	s.submit(vm, k, s.newPath(k), deadline, s.now.Add(k.route.Policy.Objective), parent, func(r outcome.Result) {
+		recordNested(&Attempt{parent: parent.request}, r)
 		switch {
 		case r.Outcome == outcome.Answered && r.Status < 500:
 			k.inTime++
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -223,6 +223,7 @@
 	ctx, cancel := in.callContext(r.Context(), &c)
 	defer cancel()
 	res := in.admitAndRun(ctx, v, &c)
+	recordNested(&c.attempt, res)
 	if res.Body != nil {
 		defer res.Body.Close()
 	}
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/pick"
@@ -14,9 +15,7 @@
 // call must not be repeated, or the retry policy, the retry budget or the time is
 // exhausted.
 func (in *Ingress) run(ctx context.Context, c *call) outcome.Result {
-	in.retryBudget.earn(c.service.Name)
-	in.refusalBudget.earn(c.service.Name)
-	in.failureBudget.earn(c.service.Name)
+	in.earn(c)
 	if c.attempt.Repeated {
 		in.retryBudget.charge(c.service.Name)
 	}
@@ -125,7 +124,7 @@
 	if objective == 0 {
 		objective = c.route.Policy.Timeout / defaultObjectiveDivisor
 	}
-	criteria := pick.Criteria{Urgency: c.attempt.Urgency, Objective: objective, Body: len(c.attempt.Body), Tried: tried}
+	criteria := pick.Criteria{Urgency: in.rankUrgency(&c.attempt), Objective: objective, Body: len(c.attempt.Body), Tried: tried}
 	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
 	c.attempt.TypicalLatency = criteria.TypicalLatency
 	c.attempt.AnswerBytes = 0
@@ -135,6 +134,16 @@
 	return criteria
 }
 
+// rankUrgency returns the urgency by which the picker learns and predicts refusals. Where
+// load control is in force, gates admit nested calls before all direct ones, so that a
+// refused direct call is no reason to expect that a nested one is refused.
+func (in *Ingress) rankUrgency(a *Attempt) config.Urgency {
+	if a.Nested && in.view.Load().LoadControl {
+		return config.MostUrgent
+	}
+	return a.Urgency
+}
+
 // try makes one attempt at the upstream.
 func (in *Ingress) try(ctx context.Context, c *call, u view.Upstream) outcome.Result {
 	a := c.attempt
@@ -158,7 +167,7 @@
 		}
 	}
 	in.recordForRollout(c, u, r)
-	in.picker.Observe(u, a.Urgency, r)
+	in.picker.Observe(u, in.rankUrgency(&a), r)
 	if r.Draining && in.picker.SetDraining(u) {
 		logDraining(in.cfg.Logger, a.Upstream, a.Request)
 	}
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -33,6 +33,13 @@
 	// owner refused.
 	Started metrics.Counter
 	Refused metrics.Counter
+	// StarvedRuns counts the runs whose nested call was refused or found no upstream,
+	// RefusedRuns the attempts refused because runs of their route starve.
+	StarvedRuns metrics.Counter
+	RefusedRuns metrics.Counter
+	// AdmittedRuns is the lowest part, over the routes of the upstreams of this VM, of the
+	// new runs that is admitted.
+	AdmittedRuns metrics.GaugeFloat64
 	// CrashedAttempts counts attempts whose upstream crashed while running them,
 	// UpstreamCrashes the crashes of upstreams.
 	CrashedAttempts metrics.Counter
@@ -63,7 +70,9 @@
 		Voided:           counter("voided"), Silent: counter("silent"), Started: counter("attempts_started"),
 		Sent: counter("attempts_sent"), RateLimit: metrics.GetOrRegisterGaugeFloat64("upstreams.rate_limit", r),
 		Refused: counter("attempts_refused"), CrashedAttempts: counter("upstream_ended"),
-		OverLimit: counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
+		StarvedRuns: metrics.GetOrRegisterCounter("runs.starved", r), RefusedRuns: metrics.GetOrRegisterCounter("runs.refused", r),
+		AdmittedRuns: metrics.GetOrRegisterGaugeFloat64("runs.admitted_part", r),
+		OverLimit:    counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
 		Quarantined: counter("quarantined"), UpstreamCrashes: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
 	}
 }
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -14,6 +14,7 @@
 	"github.com/comfreygate/comfreygate/internal/egress"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/runs"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -71,6 +72,8 @@
 	// rolloutActive is set while any rollout is in progress. Responses to ingress daemons
 	// then carry the time that the upstream took.
 	rolloutActive atomic.Bool
+	// view is the view of the last Update.
+	view atomic.Pointer[view.View]
 	// logLimit limits how many log lines are written about attempts, limitLogLimit how many
 	// about the rate limits of upstreams.
 	logLimit      lineLimit
@@ -96,6 +99,8 @@
 	crashes  crashDetector
 	attempts runningAttempts
 	limit    *statedLimit
+	// runs limits the new runs of routes whose runs starve.
+	runs *runs.Limiter
 }
 
 // NewOwner returns an owner without upstreams. Callers must call Close when done.
@@ -114,6 +119,8 @@
 		stop:      make(chan struct{}),
 		upstreams: map[string]*localUpstream{},
 	}
+	o.view.Store(&view.View{})
+	o.cfg.Metrics.AdmittedRuns.Update(1)
 	go o.guard.run(o.stop)
 	return o
 }
@@ -126,6 +133,7 @@
 func (o *Owner) Update(v *view.View) {
 	o.leaving.Store(v.Leaving)
 	o.rolloutActive.Store(v.HasSplit())
+	o.view.Store(v)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	present := make(map[string]bool, len(v.Locals))
@@ -173,6 +181,7 @@
 	gate := admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs))
 	loc := &localUpstream{
 		gate: gate, limit: newStatedLimit(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
+		runs: runs.New(o.cfg.Now, func(c runs.Change) { o.logRunsLimit(l.ID, c) }),
 		pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect),
 	}
 	o.upstreams[l.ID] = loc
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -99,6 +99,10 @@
 		}
 		return nil, outcome.Refuse(reason, outcome.MinRetryAfter)
 	}
+	if refusal, ok := o.admitRun(loc, a); !ok {
+		o.ledger.abandon(a.ID)
+		return nil, refusal
+	}
 	return loc, outcome.Result{}
 }
 
@@ -117,11 +121,18 @@
 	return r
 }
 
-// run sends the attempt to the upstream.
+// run sends the attempt to the upstream and records how the run ended.
 func (o *Owner) run(ctx context.Context, loc *localUpstream, a *Attempt) outcome.Result {
 	began := o.cfg.Now()
-	o.running.begin(a, loc.gate)
+	p := o.running.begin(a, loc.gate)
 	defer o.running.end(a)
+	r := o.send(ctx, loc, a, began)
+	o.recordRun(loc, a, p, began, r)
+	return r
+}
+
+// send sends the attempt to the upstream.
+func (o *Owner) send(ctx context.Context, loc *localUpstream, a *Attempt, began time.Time) outcome.Result {
 	res, err := loc.pool.do(ctx, o.upstreamRequest(loc, a), func(req *http.Request, connWait time.Duration) outcome.Reason {
 		return o.recheckBeforeSend(ctx, req, a, connWait)
 	})
--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -158,7 +158,7 @@
 	r := t.last
 	if t.refused > 0 && !r.RefusedForCapacity() {
 		in.cfg.Metrics.RetriesFoundRoom.Inc(1)
-		in.refusalBudget.add(c.service.Name, acceptedRefund)
+		in.refusalBudget.add(in.refusalKey(c), acceptedRefund)
 	}
 	switch {
 	case r.Outcome == outcome.Answered && !upstreamFailed(r):
@@ -167,12 +167,17 @@
 		return false
 	case r.Reason == outcome.ReasonQuarantined || r.Reason == outcome.ReasonSuspectRunning:
 		return false
+	case r.Reason == outcome.ReasonNestedOverload:
+		// All owners of the service share the service below.
+		return false
+	case in.futile(c, r):
+		return false
 	case r.Reason == outcome.ReasonDeadline || r.Reason == outcome.ReasonCancelled || r.Reason == outcome.ReasonDuplicate:
 		return false
 	case len(t.upstreams) >= maxOwners:
 		return false
 	case r.RefusedForCapacity():
-		return t.refused < maxFullOwners && in.spend(in.refusalBudget, c)
+		return t.refused < maxFullOwners && in.spend(in.refusalBudget, in.refusalKey(c))
 	case !r.Reached():
 		// An upstream that is draining or unreachable costs a call one hop, and a
 		// planned stop must not use up the budget.
@@ -181,16 +186,42 @@
 	if t.reached > c.route.Policy.Retries {
 		return false
 	}
-	if upstreamFailed(r) && !in.spend(in.failureBudget, c) {
+	if upstreamFailed(r) && !in.spend(in.failureBudget, c.service.Name) {
+		return false
+	}
+	return in.spend(in.retryBudget, c.service.Name)
+}
+
+// futile reports whether a call that was refused as overload need not be tried elsewhere:
+// the upstream that was expected to serve it first has no room before its deadline. It
+// reports false where load control is not in force.
+func (in *Ingress) futile(c *call, r outcome.Result) bool {
+	if r.Reason != outcome.ReasonOverload || !in.view.Load().LoadControl {
 		return false
 	}
-	return in.spend(in.retryBudget, c)
+	return in.cfg.Now().Add(r.RetryAfter).After(c.attempt.Deadline)
+}
+
+// earn credits the budgets with a call.
+func (in *Ingress) earn(c *call) {
+	in.retryBudget.earn(c.service.Name)
+	in.refusalBudget.earn(in.refusalKey(c))
+	in.failureBudget.earn(c.service.Name)
+}
+
+// refusalKey returns the key of the refusal budget for a call: that of its service. Where
+// load control is in force, nested calls have their own: owners have room for them while
+// they refuse direct calls, whose retries would use up the budget.
+func (in *Ingress) refusalKey(c *call) string {
+	if c.attempt.Nested && in.view.Load().LoadControl {
+		return c.service.Name + "\x00nested"
+	}
+	return c.service.Name
 }
 
-// spend takes a token for the call's service from the budget and counts the retries that
-// it does not allow.
-func (in *Ingress) spend(b *budget, c *call) bool {
-	if b.spend(c.service.Name) {
+// spend takes a token from the budget and counts the retries that it does not allow.
+func (in *Ingress) spend(b *budget, key string) bool {
+	if b.spend(key) {
 		return true
 	}
 	in.cfg.Metrics.RetryDenied.Inc(1)
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -51,6 +51,9 @@
 	ReasonUpstreamLimit Reason = "upstream-limit"
 	// ReasonLink: the body would wait too long for the network link of the owner's VM.
 	ReasonLink Reason = "link-busy"
+	// ReasonNestedOverload: a run would be wasted, since nested calls of its route's runs are
+	// being refused.
+	ReasonNestedOverload Reason = "nested-overload"
 	// ReasonUpstreamRefused: the upstream itself refused the request.
 	ReasonUpstreamRefused Reason = "upstream-refused"
 	// ReasonMoved: the process at the address is another upstream.
@@ -145,6 +148,15 @@
 	return false
 }
 
+// Starved reports whether the call that a run made ends the run in vain: it was refused for
+// lack of capacity, waited for it until its deadline, or found no upstream.
+func (r Result) Starved() bool {
+	if r.Outcome != NotRun {
+		return false
+	}
+	return r.RefusedForCapacity() || r.UpstreamUnavailable() || r.Reason == ReasonNoUpstream || r.Reason == ReasonDeadline
+}
+
 // RefusedAsSuspect reports whether the attempt was refused because the request is a suspect,
 // which says nothing about the state of the upstream.
 func (r Result) RefusedAsSuspect() bool {
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -115,6 +115,9 @@
 	switch {
 	case r.RefusedAsSuspect():
 		// The result depends on the request, not on the upstream.
+	case r.Reason == outcome.ReasonNestedOverload:
+		// The service below lacks capacity, not the upstream. Runs of other routes and calls
+		// without nested ones are admitted.
 	case r.Outcome == outcome.NotRun && r.UpstreamUnavailable():
 		st.avoid(config.MostUrgent, p.now().Add(unavailableRetry))
 	case r.Outcome == outcome.NotRun && r.RetryAfter > 0:
--- a/internal/pick/refusals.go
+++ b/internal/pick/refusals.go
@@ -37,7 +37,9 @@
 	r.updatedAt = now
 	switch {
 	case res.RefusedAsSuspect():
-	case res.RefusedForCapacity():
+	case res.RefusedForCapacity() || res.Reason == outcome.ReasonNestedOverload:
+		// An owner that refuses runs because their nested calls are refused has free slots,
+		// and would get most calls otherwise.
 		for u := range urgency + 1 {
 			r.byUrgency[u] += weight * (1 - r.byUrgency[u])
 		}
