--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -52,6 +52,9 @@
 	// ReasonLink: the body or the response would wait too long for the network link of the
 	// owner's VM.
 	ReasonLink Reason = "link-busy"
+	// ReasonNestedOverload: a run would be wasted, since nested calls of its route's runs are
+	// being refused.
+	ReasonNestedOverload Reason = "nested-overload"
 	// ReasonUpstreamRefused: the upstream itself refused the request.
 	ReasonUpstreamRefused Reason = "upstream-refused"
 	// ReasonMoved: the process at the address is another upstream.
@@ -149,6 +152,15 @@
 	return false
 }
 
+// Starved reports whether the call that a run made ends the run in vain: it was refused for
+// lack of capacity, waited for it until its deadline, or found no upstream.
+func (r Result) Starved() bool {
+	if r.Outcome != NotRun {
+		return false
+	}
+	return r.RefusedForCapacity() || r.UpstreamUnavailable() || r.Reason == ReasonNoUpstream || r.Reason == ReasonDeadline
+}
+
 // RefusedAsSuspect reports whether the attempt was refused because the request is a suspect,
 // which says nothing about the state of the upstream.
 func (r Result) RefusedAsSuspect() bool {
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -126,6 +126,9 @@
 		// The result depends on the request, not on the upstream.
 	case r.OwnerSilent && p.linkBusy(&u):
 		// The result depends on the link: only this call goes elsewhere.
+	case r.Reason == outcome.ReasonNestedOverload:
+		// The service below lacks capacity, not the upstream. Runs of other routes and calls
+		// without nested ones are admitted.
 	case r.Outcome == outcome.NotRun && r.UpstreamUnavailable():
 		st.avoid(config.MostUrgent, p.now().Add(unavailableRetry))
 	case r.Outcome == outcome.NotRun && r.Reason == outcome.ReasonLink:
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -33,10 +33,6 @@
 // Resources returns all resources.
 func Resources() []Resource { return []Resource{Slots, Link, NestedCalls, Limit, Reachability} }
 
-// reasonNestedOverload is the reason of an owner that refuses a request because the nested
-// calls of its route are refused.
-const reasonNestedOverload outcome.Reason = "nested-overload"
-
 // ResourceOf returns the resource whose lack is the reason of a refusal, and false if the
 // refusal has another cause.
 func ResourceOf(r outcome.Reason) (Resource, bool) {
@@ -45,7 +41,7 @@
 		return Slots, true
 	case outcome.ReasonLink:
 		return Link, true
-	case reasonNestedOverload:
+	case outcome.ReasonNestedOverload:
 		return NestedCalls, true
 	case outcome.ReasonOverLimit:
 		return Limit, true
