The pace of upstreams counts under load control only

Cause: deployments whose configuration calls for no load control must be served as before, whatever their upstreams report.

Change: owners pass the pace to the gate where load control is in force.

--- a/internal/admission/nestedfirst.go
+++ b/internal/admission/nestedfirst.go
@@ -130,5 +130,5 @@
 // given the time until its objective. The mean service time is not deducted: it is mostly
 // that of direct calls, which take longer.
 func (g *Gate) maxNestedWait(untilObjective time.Duration) time.Duration {
-	return time.Duration(max(maxWaitFraction*float64(untilObjective), minWaitFraction*float64(g.meanService)))
+	return time.Duration(max(maxWaitFraction*float64(untilObjective), minWaitFraction*float64(g.serviceTime())))
 }
--- a/internal/callpath/pace.go
+++ b/internal/callpath/pace.go
@@ -11,10 +11,11 @@
 	maxPace = 20
 )
 
-// observePace passes the pace that an upstream reports in a response to its gate. A response
-// without a valid report changes nothing: the previous one stays valid for its time.
+// observePace passes the pace that an upstream reports in a response to its gate, where load
+// control is in force. A response without a valid report changes nothing: the previous one
+// stays valid for its time.
 func (o *Owner) observePace(loc *localUpstream, h http.Header) {
-	if o.cfg.Dialect.Pace == nil {
+	if o.cfg.Dialect.Pace == nil || !o.view.Load().LoadControl {
 		return
 	}
 	if pace, ok := o.cfg.Dialect.Pace(h); ok {
--- a/internal/callpath/pace_test.go
+++ b/internal/callpath/pace_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestPaceReachesTheIngress: the pace that an upstream reports must be in the load that its owner
-// reports to ingress daemons on other VMs, and a malformed one must not.
+// reports to ingress daemons on other VMs, and a malformed one must not. Where load control is not
+// in force, the pace has no effect.
 func TestPaceReachesTheIngress(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 1, 4, 0)
@@ -26,6 +27,13 @@
 	t.Cleanup(up.Close)
 	r.workers[0].up = up
 	r.update()
+	owner := r.workers[0].owner
+	pace = "2.5"
+	r.send(config.Normal)
+	is.Equal(r.ingress.Loads()["w0"].Pace, 1.0)
+	controlled := *owner.view.Load()
+	controlled.LoadControl = true
+	owner.Update(&controlled)
 	for _, c := range []struct {
 		reported string
 		want     float64
