--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -154,6 +154,7 @@
 // Update applies a view to the calls that arrive from now on.
 func (in *Ingress) Update(v *view.View) {
 	in.view.Store(v)
+	in.picker.SetContention(v.LoadControl)
 	in.cfg.Limits.Update(in.backgroundCtx, v)
 }
 
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -123,7 +123,7 @@
 	for _, u := range p.twoUsable(groups.sameDomain, c, now) {
 		consider(u, hopCost)
 	}
-	crossDomainCost := float64(c.Bytes) * p.byteCost
+	crossDomainCost := float64(c.Bytes) * p.byteCost * p.byteCostFactor
 	if crossDomainCost > maxCrossDomainCost && p.domainReachable(groups) {
 		return best
 	}
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -69,9 +69,11 @@
 	// byteCost is the cost of a byte between failure domains as a fraction of a call's
 	// worth.
 	byteCost float64
-	now      func() time.Time
-	rand     *rand.Rand
-	stats    map[string]*stats
+	// byteCostFactor multiplies byteCost.
+	byteCostFactor float64
+	now            func() time.Time
+	rand           *rand.Rand
+	stats          map[string]*stats
 	// down holds the owners that this daemon cannot reach.
 	down map[string]bool
 	// linkBusyAt is when an owner last reported that responses wait for its link, by owner.
@@ -89,12 +91,27 @@
 // between failure domains as a fraction of a call's worth.
 func New(domain string, byteCost float64, now func() time.Time, seed uint64) *Picker {
 	return &Picker{
-		domain: domain, byteCost: byteCost, now: now, rand: rand.New(rand.NewPCG(seed, seed)),
+		domain: domain, byteCost: byteCost, byteCostFactor: 1, now: now, rand: rand.New(rand.NewPCG(seed, seed)),
 		stats: map[string]*stats{}, down: map[string]bool{}, linkBusyAt: map[string]time.Time{}, routes: routeTable{},
 		groups: map[string]*localityGroups{}, means: map[string]cachedMeans{}, refusals: map[string]*refusalRates{},
 	}
 }
 
+// contentionByteCostFactor multiplies the cost of bytes between failure domains while callers
+// of all domains compete for the same resources: the others are then as full as this one, and
+// a call that leaves its domain rarely gains more than it takes from a call there.
+const contentionByteCostFactor = 8
+
+// SetContention sets whether callers of all failure domains compete for the same resources.
+func (p *Picker) SetContention(contention bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byteCostFactor = 1
+	if contention {
+		p.byteCostFactor = contentionByteCostFactor
+	}
+}
+
 // busy is the number of attempts known to be at the upstream: the higher of this daemon's
 // own count and the last report.
 func (p *Picker) busy(st *stats, now time.Time) int {
--- a/internal/pick/picker_test.go
+++ b/internal/pick/picker_test.go
@@ -91,6 +91,27 @@
 	is.Equal(f.pickedDomains(testUpload)["a"], 300)
 }
 
+// TestCallsStayInTheirDomainUnderContention guards against calls that go back and forth between
+// failure domains all of which are full: the upstreams of the caller's domain have a queue, the
+// others hardly a shorter one. Only calls that find no room at all in their domain leave it.
+func TestCallsStayInTheirDomainUnderContention(t *testing.T) {
+	is := is.New(t)
+	f := newPickerFixture("a", "b", "c")
+	f.reportLoad("a", outcome.Load{InFlight: 12, Queued: 9, Slots: 12, Service: testService})
+	f.reportLoad("b", outcome.Load{InFlight: 12, Queued: 4, Slots: 12, Service: testService})
+	f.reportLoad("c", outcome.Load{InFlight: 12, Queued: 4, Slots: 12, Service: testService})
+	is.Equal(f.pickedDomains(testLookup)["a"], 0)
+	f.SetContention(true)
+	is.Equal(f.pickedDomains(testLookup)["a"], 300)
+	for i := range 3 {
+		f.Observe(f.service.Upstreams[i], config.Normal, outcome.Refuse(outcome.ReasonOverload, time.Second))
+	}
+	is.Equal(f.pickedDomains(testLookup)["a"], 0)
+	is.Equal(f.pickedDomains(testLookup)["none"], 0)
+	f.SetContention(false)
+	is.Equal(f.pickedDomains(testLookup)["none"], 0)
+}
+
 // TestUploadsAreRefusedRatherThanSentToAnotherDomain: the upstreams of the caller's
 // domain refuse calls and set a retry-after time. Sending an upload to another domain
 // would cost 2.6 times its worth, so it is refused; if the caller's domain has no
