Runs are not limited by a rate derived from no arrivals

Cause: if a route's runs starved in a window without a measured arrival, as after a burst that came before the route was tracked, the admitted rate became zero. The limit was reported with part 1, and the next burst was refused down to the minimum. Change: without a measured arrival the counts are discarded and the rate stays. Result: TestNoLimitWithoutMeasuredArrivals failed before and passes; the tests of the package pass.

--- a/internal/runs/limiter_test.go
+++ b/internal/runs/limiter_test.go
@@ -348,3 +348,26 @@
 	is.Equal(len(l.routes), 0)
 	is.True(!l.Active())
 }
+
+// TestNoLimitWithoutMeasuredArrivals ends starved runs of a burst that arrived before their
+// route was tracked. The failure: without any measured arrival the admitted rate became zero,
+// and 0.9 of the next burst was refused although its nested calls could be served.
+func TestNoLimitWithoutMeasuredArrivals(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	changes := 0
+	l := New(func() time.Time { return at }, func(Change) { changes++ })
+	for range 20 {
+		l.Ended("r", at, true)
+	}
+	at = at.Add(windowLength)
+	l.Lowest()
+	is.Equal(changes, 0)
+	for range 3 {
+		at = at.Add(windowLength)
+		for i := range 20 {
+			_, ok := l.Admit("r", config.Normal, float64(i)/20)
+			is.True(ok)
+		}
+	}
+}
--- a/internal/runs/route.go
+++ b/internal/runs/route.go
@@ -115,12 +115,16 @@
 	return evidence
 }
 
-// decrease reduces the rate by the starved fraction of the runs.
+// decrease reduces the rate by the starved fraction of the runs. Without any measured arrival
+// it only discards the counts: a rate derived from no arrivals would refuse the next ones.
 func (r *route) decrease(starved float64) {
+	r.recent = counts{}
 	perSecond := r.arrivals.perSecond()
+	if perSecond == 0 {
+		return
+	}
 	before := min(r.rate, perSecond)
 	r.rate = max(before*(1-starved), minPart*perSecond)
-	r.recent = counts{}
 	if r.rate < before {
 		r.decreasedAt = r.windowEnd
 	}
