--- a/internal/admission/nestedfirst_test.go
+++ b/internal/admission/nestedfirst_test.go
@@ -183,3 +183,40 @@
 	_, reason, _ := g.Enter(nested)
 	is.Equal(reason, outcome.ReasonOverload) // would be late
 }
+
+// TestLateDirectCallsGetNoMoreThanTheirShare queues nested calls and direct calls whose
+// objective has passed. The failure: the time between two of these direct calls was zero, so
+// that all of them were admitted before the nested calls.
+func TestLateDirectCallsGetNoMoreThanTheirShare(t *testing.T) {
+	is := is.New(t)
+	g, at := newNestedFirst(40, 40)
+	g.Release(100 * time.Millisecond)
+	g.inFlight = 40
+	var waiting []*Waiter
+	enter := func(a Request) {
+		w, _, _ := g.Enter(a)
+		is.True(w != nil)
+		waiting = append(waiting, w)
+	}
+	for range 4 {
+		late := request(*at, false, "")
+		late.Objective = at.Add(-time.Millisecond)
+		enter(late)
+	}
+	for range 4 {
+		enter(request(*at, true, ""))
+	}
+	for range 4 {
+		g.Release(0)
+	}
+	admitted := map[bool]int{}
+	for _, w := range waiting {
+		select {
+		case <-w.Decided():
+			admitted[w.Nested]++
+		default:
+		}
+	}
+	is.Equal(admitted[false], 1) // the one that the share allows after a time without any
+	is.Equal(admitted[true], 3)
+}
