An expired pace does not count for the time after it

Cause: between two reports the mean of both paces was used, however old the first one was. After a pause of seconds a run at the usual pace was measured as 0.57 of its time. Change: if the first report had expired when the second arrived, the second alone counts. Result: TestExpiredPaceDoesNotCountBetweenReports failed before (57 ms instead of 100) and passes; the tests of the package pass.

--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -59,7 +59,7 @@
 	for i := h.n - 1; i >= 0 && until.After(began); i-- {
 		r := h.reports[i]
 		if i < h.n-1 {
-			pace = (r.pace + h.reports[i+1].pace) / 2
+			pace = meanPace(r, h.reports[i+1])
 		}
 		from := r.at
 		if from.Before(began) {
@@ -74,6 +74,15 @@
 	return time.Duration(usual)
 }
 
+// meanPace returns the pace between two successive reports: the mean of both, or that of the
+// second if the first had expired by then.
+func meanPace(first, second paceReport) float64 {
+	if second.at.Sub(first.at) >= paceMaxAge {
+		return second.pace
+	}
+	return (first.pace + second.pace) / 2
+}
+
 // RecordPace records the pace that the upstream reports: how long work takes there at this moment,
 // as a multiple of the usual.
 func (g *Gate) RecordPace(pace float64) {
--- a/internal/admission/pace_test.go
+++ b/internal/admission/pace_test.go
@@ -199,3 +199,16 @@
 		}
 	})
 }
+
+// TestExpiredPaceDoesNotCountBetweenReports measures a run at the usual pace long after a slow
+// pace was reported. The failure: the mean with the expired report was taken, so that the
+// service time appeared to be 0.57 of what it is.
+func TestExpiredPaceDoesNotCountBetweenReports(t *testing.T) {
+	is := is.New(t)
+	h := &paceHistory{}
+	at := time.Unix(1000, 0)
+	h.record(at, 2.5)
+	at = at.Add(10 * time.Second)
+	h.record(at, 1)
+	is.Equal(h.usualTime(at, 100*time.Millisecond), 100*time.Millisecond)
+}
