The metric of the admitted part follows the limit

Cause: runs.admitted_part was set at the end of runs only. When load control was switched off, or runs no longer came, it kept a part below 1 although nothing was limited. Change: the metric is computed when it is read, and is 1 where load control is not in force.

--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -43,6 +43,8 @@
 	// AdmittedRuns is the lowest part, over the routes of the upstreams of this VM, of the
 	// new runs that is admitted.
 	AdmittedRuns metrics.GaugeFloat64
+	// admittedPart returns the value of AdmittedRuns at present.
+	admittedPart atomic.Pointer[func() float64]
 	// CrashedAttempts counts attempts whose upstream crashed while running them,
 	// UpstreamCrashes the crashes of upstreams.
 	CrashedAttempts metrics.Counter
@@ -83,12 +85,12 @@
 		Sent: counter("attempts_sent"), RateLimit: metrics.GetOrRegisterGaugeFloat64("upstreams.rate_limit", r),
 		Refused: counter("attempts_refused"), CrashedAttempts: counter("upstream_ended"),
 		StarvedRuns: metrics.GetOrRegisterCounter("runs.starved", r), RefusedRuns: metrics.GetOrRegisterCounter("runs.refused", r),
-		AdmittedRuns: metrics.GetOrRegisterGaugeFloat64("runs.admitted_part", r),
-		OverLimit:    counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
+		OverLimit: counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
 		Quarantined: counter("quarantined"), UpstreamCrashes: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
 		CrossDomain: crossdomain.NewCounters(r),
 	}
 	metrics.NewRegisteredFunctionalGauge("egress.waiting_us", r, m.egressWaitMicros)
+	m.AdmittedRuns = metrics.NewRegisteredFunctionalGaugeFloat64("runs.admitted_part", r, m.admittedRuns)
 	return m
 }
 
@@ -103,6 +105,17 @@
 	return (*wait)().Microseconds()
 }
 
+// setAdmittedPart sets the function that returns the lowest admitted part of new runs at present.
+func (m *Metrics) setAdmittedPart(part func() float64) { m.admittedPart.Store(&part) }
+
+func (m *Metrics) admittedRuns() float64 {
+	part := m.admittedPart.Load()
+	if part == nil {
+		return 1
+	}
+	return (*part)()
+}
+
 func (m *Metrics) answered(took time.Duration) {
 	m.Answered.Inc(1)
 	m.Latency.Update(took)
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -123,7 +123,7 @@
 	}
 	o.view.Store(&view.View{})
 	cfg.Metrics.setEgressWait(func() time.Duration { return o.egress.Wait(0) })
-	cfg.Metrics.AdmittedRuns.Update(1)
+	cfg.Metrics.setAdmittedPart(o.lowestRunsPart)
 	go o.guard.run(o.stop)
 	return o
 }
--- a/internal/callpath/ownerruns.go
+++ b/internal/callpath/ownerruns.go
@@ -41,7 +41,6 @@
 	if route, ok := o.routeOf(a); ok {
 		loc.runs.Ended(route, began, starved)
 	}
-	o.cfg.Metrics.AdmittedRuns.Update(o.lowestRunsPart())
 }
 
 // routeOf returns the route that matches an attempt in this daemon's view. Matching takes
@@ -55,8 +54,11 @@
 }
 
 // lowestRunsPart returns the lowest part of the new runs that is admitted, over all routes of
-// the upstreams of this VM.
+// the upstreams of this VM. It is 1 where load control is not in force.
 func (o *Owner) lowestRunsPart() float64 {
+	if !o.view.Load().LoadControl {
+		return 1
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	lowest := 1.0
--- a/internal/callpath/ownerruns_test.go
+++ b/internal/callpath/ownerruns_test.go
@@ -85,6 +85,24 @@
 	}
 }
 
+// TestAdmittedPartEndsWithTheLimit reads the metric of the admitted part while runs are limited
+// and once load control is no longer in force. The failure: it kept the part at the last end of
+// a run.
+func TestAdmittedPartEndsWithTheLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 8, time.Millisecond)
+	r.setLoadControl()
+	o := r.workers[0].owner
+	r.workers[0].starve(t, config.Normal.String())
+	a := &Attempt{Request: "ended", Host: "h", URL: &url.URL{Path: "/normal"}}
+	o.recordRun(o.upstreams["w0"], a, &parentRequest{}, time.Now(), outcome.Result{Outcome: outcome.Answered})
+	is.True(r.metrics.AdmittedRuns.Value() < 1)
+	v := *o.view.Load()
+	v.LoadControl = false
+	o.Update(&v)
+	is.Equal(r.metrics.AdmittedRuns.Value(), 1.0)
+}
+
 // TestStarvedRunsAreCounted runs parent requests, some of whose nested calls are refused:
 // each such run counts once, by the final result of the nested call.
 func TestStarvedRunsAreCounted(t *testing.T) {
