Refusals without an attempt name the reason of the avoidance itself

The picker kept one reason for each upstream, that of the owner's last refusal of any call. A call that is refused because owners keep it away was given that reason, also if another one keeps it away: a short call was refused as link-busy, for a link on which it never waits, after a long one had been, and a long one as upstream-limit while only the link kept it away. show pressure then named the wrong resource.

The reason is recorded where the avoidance is, and a refusal for the link counts for calls that use the link while it lasts longest. What is picked, and when a refused call may return, is as before.

TestRefusalReasonIsThatOfTheAvoidance fails without the change (link-busy instead of upstream-limit) and passes with it; tests of internal/pick pass.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -81,7 +81,7 @@
 		}
 		anyReachable = true
 		if st := p.stats[u.ID]; st != nil {
-			if wait := max(st.avoidUntil[c.Urgency].Sub(now), st.linkWait(c, now)); wait > 0 {
+			if wait, _ := st.avoidance(c, now); wait > 0 {
 				retryAfter = minNonZero(retryAfter, wait)
 			}
 		}
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -42,7 +42,8 @@
 	load        outcome.Load
 	loadAt      time.Time
 	errorRate   float64
-	// refusedFor is the reason of the owner's last refusal that keeps calls away from it.
+	// refusedFor is the reason of the owner's last refusal that keeps calls away from it
+	// until avoidUntil.
 	refusedFor outcome.Reason
 	// draining is set if the upstream has stated that it is draining; drainingIncarnation is
 	// the incarnation that did.
@@ -137,7 +138,6 @@
 		p.recordLink(&u, r.Load.Egress)
 	}
 	p.recordRefusal(u.Service, st, urgency, r, p.now())
-	st.recordReason(r)
 	switch {
 	case r.RefusedAsSuspect():
 		// The result depends on the request, not on the upstream.
@@ -148,10 +148,12 @@
 		// without nested ones are admitted.
 	case r.Outcome == outcome.NotRun && r.UpstreamUnavailable():
 		st.avoid(config.MostUrgent, p.now().Add(unavailableRetry))
+		st.recordReason(r)
 	case r.Outcome == outcome.NotRun && r.Reason == outcome.ReasonLink:
 		st.avoidLinkUntil = p.now().Add(r.RetryAfter)
 	case r.Outcome == outcome.NotRun && r.RetryAfter > 0:
 		st.avoid(urgency, p.now().Add(r.RetryAfter))
+		st.recordReason(r)
 	case r.Outcome == outcome.Answered && r.Status < 500:
 		st.errorRate -= errorWeight * st.errorRate
 	case r.Outcome != outcome.NotRun && r.Reason != outcome.ReasonCancelled:
--- a/internal/pick/picker_test.go
+++ b/internal/pick/picker_test.go
@@ -230,3 +230,27 @@
 	_, refusal, _ = f.Pick(f.service, Criteria{Urgency: config.Normal, Objective: testObjective})
 	is.Equal(refusal.Reason, outcome.ReasonOverload) // the upstreams refused, not their owners
 }
+
+// TestRefusalReasonIsThatOfTheAvoidance guards against calls that are refused for the last
+// reason that owners gave to any call: short calls, which never wait for a link, would be shown
+// as refused for it, and long ones that only the link keeps away as refused for slots.
+func TestRefusalReasonIsThatOfTheAvoidance(t *testing.T) {
+	is := is.New(t)
+	f := newPickerFixture("a")
+	for _, u := range f.service.Upstreams {
+		f.Observe(u, config.Normal, outcome.Refuse(outcome.ReasonUpstreamLimit, 100*time.Millisecond))
+		f.Observe(u, config.Normal, outcome.Refuse(outcome.ReasonLink, 200*time.Millisecond))
+	}
+	short := Criteria{Urgency: config.Normal, Objective: testObjective}
+	long := Criteria{Urgency: config.Normal, Objective: testObjective, Answer: outcome.LongBody}
+	_, refusal, _ := f.Pick(f.service, short)
+	is.Equal(refusal, outcome.Refuse(outcome.ReasonUpstreamLimit, 100*time.Millisecond))
+	_, refusal, _ = f.Pick(f.service, long)
+	is.Equal(refusal, outcome.Refuse(outcome.ReasonLink, 200*time.Millisecond))
+	for _, u := range f.service.Upstreams {
+		f.Observe(u, config.Normal, outcome.Refuse(outcome.ReasonUpstreamLimit, 100*time.Millisecond))
+	}
+	f.at = f.at.Add(150 * time.Millisecond)
+	_, refusal, _ = f.Pick(f.service, long)
+	is.Equal(refusal, outcome.Refuse(outcome.ReasonLink, 50*time.Millisecond))
+}
--- a/internal/pick/reason.go
+++ b/internal/pick/reason.go
@@ -7,34 +7,40 @@
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
-// recordReason keeps the reason of a refusal that keeps calls away from the upstream.
+// recordReason keeps the reason of a refusal for which the upstream is avoided from now on.
 func (st *stats) recordReason(r outcome.Result) {
-	if r.Outcome != outcome.NotRun || r.RefusedAsSuspect() {
-		return
-	}
 	if r.UpstreamUnavailable() || r.RefusedForCapacity() || r.Reason == outcome.ReasonUpstreamRefused {
 		st.refusedFor = r.Reason
 	}
 }
 
+// avoidance returns how long the owner asked to send it no calls of this kind, and the reason.
+func (st *stats) avoidance(c Criteria, now time.Time) (wait time.Duration, reason outcome.Reason) {
+	wait = max(0, st.avoidUntil[c.Urgency].Sub(now))
+	if link := st.linkWait(c, now); link > wait {
+		return link, outcome.ReasonLink
+	}
+	return wait, st.refusedFor
+}
+
 // capacityReason returns the lack of capacity for which most owners keep the call away from
 // their upstreams, and ReasonOverload if no owner named one.
 func (p *Picker) capacityReason(s *view.Service, c Criteria, now time.Time) outcome.Reason {
-	c.Tried = nil
 	counts := map[outcome.Reason]int{}
 	most := outcome.ReasonOverload
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
 		st := p.stats[u.ID]
-		if st == nil || p.down[u.Owner] || p.isDraining(u) || p.usable(u, c, now) {
+		if st == nil || p.down[u.Owner] || p.isDraining(u) {
 			continue
 		}
-		if !outcome.Refuse(st.refusedFor, 0).RefusedForCapacity() {
+		wait, reason := st.avoidance(c, now)
+		if wait == 0 || !outcome.Refuse(reason, 0).RefusedForCapacity() {
 			continue
 		}
-		counts[st.refusedFor]++
-		if counts[st.refusedFor] > counts[most] {
-			most = st.refusedFor
+		counts[reason]++
+		if counts[reason] > counts[most] {
+			most = reason
 		}
 	}
 	return most
