Large answers that a daemon of an older build dropped are restored

The receiver's state then has the same hash, so nothing showed the difference: load control (auto) was in force at some daemons and not at others. A root that got its version from such a peer took the same document for one it holds. Later deltas carry only policies that changed at their sender, so that the state was not repaired by later versions either.

Pings have the number of policies with large answers (omitted if zero, ignored by builds before). A daemon that holds the same state with fewer of them pulls the whole state; the same document read again restores them, too. Both keep version, position and hash.

--- a/internal/config/entity.go
+++ b/internal/config/entity.go
@@ -75,7 +75,8 @@
 	// is retried only when it is known not to have run.
 	Repeatable []string `json:"repeatable,omitempty"`
 	// LargeAnswers is set if the answers are expected to be large. It is not part of a
-	// state's digest: builds that do not know the field compute the same one.
+	// state's digest: builds that do not know the field compute the same one. A state in
+	// which such a build dropped it is replaced, see State.Restores.
 	LargeAnswers bool `json:"large_answers,omitempty"`
 }
 
--- a/internal/config/loadcontrol.go
+++ b/internal/config/loadcontrol.go
@@ -37,10 +37,5 @@
 			return true
 		}
 	}
-	for _, p := range c.Policies {
-		if p.LargeAnswers {
-			return true
-		}
-	}
-	return false
+	return c.countLargeAnswers() > 0
 }
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -71,6 +71,8 @@
 	Hash string `json:"hash"`
 	// contentDigest is the digest of Content, or nil if it has not been computed.
 	contentDigest *digest
+	// largeAnswers is the number of policies with large answers, computed with Hash.
+	largeAnswers int
 }
 
 // Empty returns the state before the first record.
@@ -97,6 +99,7 @@
 func (s *State) computeHash() string {
 	contentDigest := s.digest()
 	s.contentDigest = &contentDigest
+	s.largeAnswers = s.Content.countLargeAnswers()
 	b, err := json.Marshal(hashInput{
 		Version: s.Version, Position: s.Position, Base: s.Base,
 		Limits: s.Content.Limits, Entities: contentDigest, Outcomes: s.Outcomes,
--- a/internal/system/config.go
+++ b/internal/system/config.go
@@ -52,6 +52,18 @@
 	raiseAlarm(w, AlarmHash, l.Peer+" holds different content at the same log position", out)
 }
 
+// pullLargeAnswers requests the whole state from a peer that holds the same one with more
+// policies with large answers: a daemon of a build that does not know the field has passed it on
+// to this one without them.
+func pullLargeAnswers(w *table.World, now time.Time, l *table.Link, p wire.Ping, out *Outbox) {
+	s := w.Config.State
+	same := p.Base == s.Base && p.Position == s.Position && p.Hash == s.Hash
+	if !same || p.LargeAnswers <= s.LargeAnswers() || now.Before(l.PullAfter) || now.Before(w.Config.PullUntil) {
+		return
+	}
+	sendPull(w, now, l, true, out)
+}
+
 func answerPull(w *table.World, now time.Time, l *table.Link, p wire.Pull, out *Outbox) {
 	s := w.Config.State
 	behind := s.Position - p.Position
@@ -145,12 +157,12 @@
 	adopt(w, now, next, out)
 }
 
-// adopt replaces the whole state if next is later than the state held, and reports whether
-// it did.
+// adopt replaces the whole state if next is later than the state held or restores what it
+// lacks, and reports whether it did.
 func adopt(w *table.World, now time.Time, next *config.State, out *Outbox) bool {
 	s := w.Config.State
 	older := next.Base < s.Base || (next.Base == s.Base && next.Position <= s.Position)
-	if older || next.Version < s.Version {
+	if older && !next.Restores(s) || next.Version < s.Version {
 		return false
 	}
 	w.Config.History = nil
--- a/internal/system/document.go
+++ b/internal/system/document.go
@@ -103,6 +103,8 @@
 		}
 		outcome = fmt.Sprintf("takes the place of version %d, %d routes", current.Version, len(d.Content.Routes))
 		installDocument(w, now, next, delta, out)
+	} else {
+		restoreLargeAnswers(w, now, d, out)
 	}
 	reportDocument(d.Version, outcome, out)
 	clearAlarm(w, AlarmDocument)
@@ -110,6 +112,15 @@
 	return true
 }
 
+// restoreLargeAnswers installs a document of the version held if that one lacks large answers:
+// it then came from a peer of a build that does not know the field.
+func restoreLargeAnswers(w *table.World, now time.Time, d config.Document, out *Outbox) {
+	next, delta, err := d.ApplyTo(w.Config.State)
+	if err == nil && next.Restores(w.Config.State) {
+		installDocument(w, now, next, delta, out)
+	}
+}
+
 // refuseDocument reports that a document is not applied and which version stays in force.
 // version is 0 if the document's version could not be read.
 func refuseDocument(w *table.World, version uint64, reason error, out *Outbox) {
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -128,6 +128,7 @@
 	l.Members = p.Members
 	compareHash(w, l, out)
 	pullConfig(w, now, l, out)
+	pullLargeAnswers(w, now, l, p, out)
 	if all, each := w.MemberDigests(); all != p.Members && !now.Before(l.MembersPulled.Add(memberPullInterval(w, now))) {
 		l.MembersPulled = now
 		out.send(l.ID, wire.MembersPull{BucketDigests: each, DigestsOnly: true})
@@ -155,7 +156,7 @@
 	s := w.Config.State
 	return wire.Ping{
 		Seq: l.PingSeq, Echo: l.SeenSeq,
-		Version: s.Version, Base: s.Base, Position: s.Position, Hash: s.Hash, Members: all,
+		Version: s.Version, Base: s.Base, Position: s.Position, Hash: s.Hash, LargeAnswers: s.LargeAnswers(), Members: all,
 	}
 }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -107,6 +107,8 @@
 	Base     uint64 `json:"b,omitempty"`
 	Position uint64 `json:"p"`
 	Hash     string `json:"h"`
+	// LargeAnswers is the number of policies with large answers, which Hash does not cover.
+	LargeAnswers int `json:"la,omitempty"`
 	// Members is a digest of the sender's live members.
 	Members uint64 `json:"m"`
 }
