Short calls don't make a link count as scarce

Owners report the wait for their link with each response. Each report was compared with half of the objective of its call, also if the call had a short body and a short response, which never wait for the link. With an objective of 200 ms for such calls, show pressure listed a link at a wait of 100 ms, while no long response was late.

Only calls with a long body or an expected long response make a link count as scarce. The others keep the wait of a listed link up to date.

TestShortCallsDoNotMakeALinkScarce fails without the change (1 row) and passes with it. Tests of pressure in internal/callpath pass.

--- a/internal/callpath/pressure.go
+++ b/internal/callpath/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/outcome"
@@ -43,9 +44,18 @@
 	key.Resource = pressure.Slots
 	in.cfg.Pressure.Waited(key, queueWait(r.Load), longWait)
 	key.Resource = pressure.Link
+	if !c.attempt.usesLink() {
+		longWait = math.MaxInt64 // however long, this call does not wait for it
+	}
 	in.cfg.Pressure.Waited(key, max(r.Load.Egress, r.Load.Intake), longWait)
 }
 
+// usesLink reports whether the attempt has a long body, or is expected to have a long response,
+// which wait for the link of the upstream's VM.
+func (a *Attempt) usesLink() bool {
+	return len(a.Body) >= outcome.LongBody || a.AnswerBytes > 0
+}
+
 // queueWait returns the expected wait of an attempt that joins the end of an upstream's queue.
 func queueWait(l outcome.Load) time.Duration {
 	return time.Duration(l.Queued) * l.Service / time.Duration(max(1, l.Slots))
