Calls refused in their failure domain leave it under contention too

Under load control a byte between failure domains counts eight times. That product was also compared with maxCrossDomainCost, beyond which a call is refused rather than sent to another domain. With the default cost of 40 a megabyte, calls of more than 3,125 bytes instead of 25,000 were refused while another domain had room.

The factor counts where the upstreams of several domains are compared; the bound applies to the cost without it, as where load control is not in force.

TestRefusedCallsLeaveTheirDomainUnderContention fails without the change (300 of 300 calls of 8,000 bytes refused) and passes with it; tests of internal/pick pass. The effect on bytes between failure domains in the fleet trials is not measured.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -123,12 +123,12 @@
 	for _, u := range p.twoUsable(groups.sameDomain, c, now) {
 		consider(u, hopCost)
 	}
-	crossDomainCost := float64(c.Bytes) * p.byteCost * p.byteCostFactor
+	crossDomainCost := float64(c.Bytes) * p.byteCost
 	if crossDomainCost > maxCrossDomainCost && p.domainReachable(groups) {
 		return best
 	}
 	for _, u := range p.twoUsable(groups.otherDomains, c, now) {
-		consider(u, hopCost+crossDomainCost)
+		consider(u, hopCost+crossDomainCost*p.byteCostFactor)
 	}
 	return best
 }
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -70,7 +70,8 @@
 	// byteCost is the cost of a byte between failure domains as a fraction of a call's
 	// worth.
 	byteCost float64
-	// byteCostFactor multiplies byteCost.
+	// byteCostFactor multiplies byteCost where the upstreams of several domains are compared.
+	// It does not count against maxCrossDomainCost.
 	byteCostFactor float64
 	now            func() time.Time
 	rand           *rand.Rand
--- a/internal/pick/picker_test.go
+++ b/internal/pick/picker_test.go
@@ -112,6 +112,22 @@
 	is.Equal(f.pickedDomains(testLookup)["none"], 0)
 }
 
+// TestRefusedCallsLeaveTheirDomainUnderContention guards against calls that are refused while
+// another failure domain has room, because their bytes count more under contention: that decides
+// between domains that would both take the call. The call here is worth three times its bytes.
+func TestRefusedCallsLeaveTheirDomainUnderContention(t *testing.T) {
+	is := is.New(t)
+	const bytes = 8000
+	f := newPickerFixture("a", "b")
+	f.SetContention(true)
+	f.reportLoad("b", outcome.Load{InFlight: 4, Slots: 12, Service: testService})
+	for i := range 3 {
+		f.Observe(f.service.Upstreams[i], config.Normal, outcome.Refuse(outcome.ReasonOverload, time.Second))
+	}
+	is.Equal(f.pickedDomains(bytes), map[string]int{"b": 300})
+	is.Equal(f.pickedDomains(testUpload), map[string]int{"none": 300})
+}
+
 // TestUploadsAreRefusedRatherThanSentToAnotherDomain: the upstreams of the caller's
 // domain refuse calls and set a retry-after time. Sending an upload to another domain
 // would cost 2.6 times its worth, so it is refused; if the caller's domain has no
