The window test of the token bucket gives calls back

Its comment names give-backs, of which it made none. It gives back up to 20 of a step's calls now; the assertions are the same. The check of the windows is a function of its own.

--- a/internal/quota/bucket_test.go
+++ b/internal/quota/bucket_test.go
@@ -7,6 +7,13 @@
 	"pgregory.net/rapid"
 )
 
+// bucketStep is what a bucket admitted at a time, less what was given back, and the refill since
+// the step before.
+type bucketStep struct {
+	at               time.Duration
+	admitted, refill float64
+}
+
 // TestBucketHoldsInEachWindow drives a bucket with arrivals, rates and give-backs at random. In
 // each window it must admit at most its capacity and its refill, and it must never hold
 // fewer tokens than a plain token bucket that sees the same calls: a workspace within its
@@ -14,21 +21,17 @@
 func TestBucketHoldsInEachWindow(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		const window, capacity = 5 * time.Second, 40.0
-		type step struct {
-			at               time.Duration
-			admitted, refill float64
-		}
 		now := time.Second
 		b := newTokenBucket(now, window, capacity, capacity)
 		plain := capacity
-		var steps []step
+		var steps []bucketStep
 		for range rapid.IntRange(20, 300).Draw(rt, "steps") {
 			elapsed := time.Duration(rapid.SampledFrom([]int{1, 10, 40, 100, 700}).Draw(rt, "ms")) * time.Millisecond
 			rate := rapid.SampledFrom([]float64{0, 5, 20, 50}).Draw(rt, "rate")
 			now += elapsed
 			b.refill(now, rate)
 			plain = min(plain+rate*elapsed.Seconds(), capacity)
-			s := step{at: now, refill: rate * elapsed.Seconds()}
+			s := bucketStep{at: now, refill: rate * elapsed.Seconds()}
 			for range rapid.SampledFrom([]int{0, 1, 5, 60}).Draw(rt, "calls") {
 				if plain >= 1 {
 					plain--
@@ -38,25 +41,34 @@
 					s.admitted++
 				}
 			}
+			givenBack := min(s.admitted, rapid.SampledFrom([]float64{0, 0, 1, 20}).Draw(rt, "given back"))
+			b.spend(-givenBack)
+			s.admitted -= givenBack
+			plain = min(plain+givenBack, capacity)
 			if b.tokens() < plain-1e-9-1 {
 				rt.Fatalf("at %v: %.2f tokens, a plain bucket has %.2f", now, b.tokens(), plain)
 			}
 			steps = append(steps, s)
 		}
-		for i := range steps {
-			admitted, refill := steps[i].admitted, 0.0
-			for _, s := range steps[i+1:] {
-				if s.at-steps[i].at > window {
-					break
-				}
-				admitted += s.admitted
-				refill += s.refill
-				if admitted > capacity+refill+1e-6 {
-					rt.Fatalf("from %v to %v: %.0f calls, capacity and refill %.2f", steps[i].at, s.at, admitted, capacity+refill)
-				}
+		checkWindows(rt, steps, window, capacity)
+	})
+}
+
+// checkWindows fails if more calls were admitted in a window than the capacity and the refill.
+func checkWindows(rt *rapid.T, steps []bucketStep, window time.Duration, capacity float64) {
+	for i := range steps {
+		admitted, refill := steps[i].admitted, 0.0
+		for _, s := range steps[i+1:] {
+			if s.at-steps[i].at > window {
+				break
+			}
+			admitted += s.admitted
+			refill += s.refill
+			if admitted > capacity+refill+1e-6 {
+				rt.Fatalf("from %v to %v: %.0f calls, capacity and refill %.2f", steps[i].at, s.at, admitted, capacity+refill)
 			}
 		}
-	})
+	}
 }
 
 // TestBucketPacesTheBurstOfASteadyExcess guards against a workspace that always sends more
