Plainer names and comments of limits, show pressure and route statistics

- quota: recording a request for grants stands once (bucket.recordRequest).
- pressure: Table.markScarce, beside Scarce, which counts.
- lang: policyDoc.LargeAnswers like the field that it sets.

No change in behaviour. Tests of pressure, lang, pick, config and the bucket, lease and coordinator tests of quota pass.

--- a/internal/config/digest.go
+++ b/internal/config/digest.go
@@ -12,7 +12,8 @@
 // forgery: peers are trusted.
 type digest [2]uint64
 
-// entityDigest returns the digest of one entity.
+// entityDigest returns the digest of one entity, without the fields that older builds do not
+// know.
 func entityDigest(kind Kind, name string, entity any) digest {
 	if p, ok := entity.(Policy); ok {
 		p.LargeAnswers = false
--- a/internal/lang/document.go
+++ b/internal/lang/document.go
@@ -27,12 +27,12 @@
 }
 
 type policyDoc struct {
-	Name       string    `yaml:"name"`
-	Urgency    string    `yaml:"urgency"`
-	Timeout    string    `yaml:"timeout"`
-	Retries    *int      `yaml:"retries"`
-	Repeatable *[]string `yaml:"repeatable"`
-	Large      bool      `yaml:"large_answers"`
+	Name         string    `yaml:"name"`
+	Urgency      string    `yaml:"urgency"`
+	Timeout      string    `yaml:"timeout"`
+	Retries      *int      `yaml:"retries"`
+	Repeatable   *[]string `yaml:"repeatable"`
+	LargeAnswers bool      `yaml:"large_answers"`
 }
 
 type callerDoc struct {
@@ -112,7 +112,7 @@
 }
 
 func (p policyDoc) policy() (*config.Policy, error) {
-	out := &config.Policy{Name: p.Name, Retries: DefaultRetries, Repeatable: DefaultRepeatable(), LargeAnswers: p.Large}
+	out := &config.Policy{Name: p.Name, Retries: DefaultRetries, Repeatable: DefaultRepeatable(), LargeAnswers: p.LargeAnswers}
 	if err := urgency(&out.Urgency)([]string{p.Urgency}); err != nil {
 		return nil, err
 	}
--- a/internal/pick/routestats.go
+++ b/internal/pick/routestats.go
@@ -22,12 +22,12 @@
 	// timeGivenSamples is the number of recent calls of a route from which the time that
 	// callers usually allow is determined.
 	timeGivenSamples = 32
-	// usualTimeGivenRank is the rank of the usual time among these samples, the shortest
+	// usualTimeGivenRank is the index of the usual time among these samples, the shortest
 	// first. Up to three quarters of the calls may be retries, which are allowed less, and a
 	// few callers may allow much more than all others.
 	usualTimeGivenRank = timeGivenSamples * 3 / 4
-	// timeGivenSpread is the fraction of the usual time by which callers differ that have not
-	// waited.
+	// timeGivenSpread is the fraction of the usual time by which the times of callers that have
+	// not waited differ.
 	timeGivenSpread = 0.2
 	// maxRoutes bounds the number of routes whose means are kept.
 	maxRoutes = 10_000
@@ -39,10 +39,11 @@
 	took        float64
 	// maxTimeGiven is the longest time that a caller recently allowed for a call.
 	maxTimeGiven float64
-	// timesGiven holds the times that callers allowed for the most recent calls, calls the
-	// number of calls so far.
+	// timesGiven holds the times that callers allowed for the most recent calls, that of
+	// call n at index n modulo its length.
 	timesGiven [timeGivenSamples]time.Duration
-	calls      int
+	// calls counts all calls of the route.
+	calls int
 	// measured is set once an answer has set answerBytes and took.
 	measured bool
 }
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -111,7 +111,7 @@
 	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.scarce(k, now)
+	e := t.markScarce(k, now)
 	e.advance(now.Unix())
 	e.refused[index(now.Unix())][min(max(urgency, 0), config.MostUrgent)]++
 }
@@ -128,16 +128,16 @@
 	defer t.mu.Unlock()
 	e := t.entries[k]
 	if wait >= maxWait {
-		e = t.scarce(k, now)
+		e = t.markScarce(k, now)
 	}
 	if e != nil && (wait >= e.wait || now.Sub(e.waitAt) >= waitMaxAge) {
 		e.wait, e.waitAt = wait, now
 	}
 }
 
-// scarce returns the entry of a key whose resource is scarce now. A new key gets an entry of
-// its own while there is room.
-func (t *Table) scarce(k Key, now time.Time) *entry {
+// markScarce records that the resource of a key is scarce now, and returns its entry. A new key
+// gets an entry of its own while there is room.
+func (t *Table) markScarce(k Key, now time.Time) *entry {
 	e := t.entries[k]
 	if e == nil && !t.room(now) {
 		k = Key{Resource: k.Resource, Name: othersName, Where: othersName}
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -190,8 +190,7 @@
 		return n // no limit
 	}
 	granted := b.take(n, 0)
-	b.demand += float64(n) / demandAverageSeconds
-	b.denied += float64(n-granted) / demandAverageSeconds
+	b.recordRequest(n, granted)
 	return granted
 }
 
@@ -203,13 +202,18 @@
 		return n // no limit
 	}
 	granted := b.take(n, b.returningReserve())
-	b.demand += float64(n) / demandAverageSeconds
+	b.recordRequest(n, granted)
 	b.returning += float64(n) / demandAverageSeconds
-	b.denied += float64(n-granted) / demandAverageSeconds
 	return granted
 }
 
-// take spends the tokens for up to n calls and returns how many. It leaves a reserve.
+// recordRequest adds a request for n grants to the demand, and those refused to denied.
+func (b *bucket) recordRequest(n, granted int) {
+	b.demand += float64(n) / demandAverageSeconds
+	b.denied += float64(n-granted) / demandAverageSeconds
+}
+
+// take spends the tokens for up to n calls, but none of the reserve, and returns for how many.
 func (b *bucket) take(n int, reserve float64) int {
 	taken := max(0, min(n, int(math.Floor(b.tokens()-reserve))))
 	b.spend(float64(taken))
