A lowered limit lowers the leases of its rate

A coordinator gives out its own part of a limit, less what it leased to other domains, plus what others leased to it, but not less than nothing. After a limit was lowered, leases of the limit before stayed in force for up to a second: the domain that received them used them in full, and the one that granted them could not make up for it. A limit lowered from 300 to 30 calls a second let the domains give out more than 100 together.

Both ends multiply the leases by the same factor as the limit, so that their rates add up to the new limit. A lease that is on its way while the limit is lowered is not covered; it lasts for a second at most.

TestLoweredLimitLowersLeases fails without the change and passes with it; the bucket, lease and coordinator tests of quota, the mixed-builds test, the fleets of 13 daemons (calm, a domain cut off) and the tests of limits pass.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -132,10 +132,18 @@
 	return &Coordinator{tolerance: t, domains: 1, buckets: map[string]*bucket{}}
 }
 
-// Set applies limits, each of which is divided among the given number of failure domains.
+// Set applies limits, each of which is divided among the given number of failure domains. Where
+// a limit is lowered, leases are lowered with it, at both ends: otherwise they could add up to
+// more than the new limit.
 func (c *Coordinator) Set(limits map[string]Limit, domains int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for name, b := range c.buckets {
+		if rate, before := limits[name].Rate, c.limits[name].Rate; rate < before {
+			b.leasedOut = b.leasedOut.scaled(rate / before)
+			b.leasedIn = b.leasedIn.scaled(rate / before)
+		}
+	}
 	c.limits, c.domains = limits, max(1, domains)
 	maps.DeleteFunc(c.buckets, func(name string, _ *bucket) bool { return limits[name].Rate == 0 })
 }
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -80,6 +80,16 @@
 	return append(kept, added)
 }
 
+// scaled returns the list with all rates multiplied by the factor.
+func (list leases) scaled(factor float64) leases {
+	scaled := make(leases, len(list))
+	for i, l := range list {
+		l.rate *= factor
+		scaled[i] = l
+	}
+	return scaled
+}
+
 // LeaseRequest asks another domain's coordinator to lease the rates that the requesting
 // coordinator lacks.
 type LeaseRequest struct {
