--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -81,7 +81,7 @@
 		}
 		anyReachable = true
 		if st := p.stats[u.ID]; st != nil {
-			if wait := max(st.avoidUntil[c.Urgency].Sub(now), st.linkWait(c, now)); wait > 0 {
+			if wait, _ := st.avoidance(c, now); wait > 0 {
 				retryAfter = minNonZero(retryAfter, wait)
 			}
 		}
@@ -123,12 +123,12 @@
 	for _, u := range p.twoUsable(groups.sameDomain, c, now) {
 		consider(u, hopCost)
 	}
-	crossDomainCost := float64(c.Bytes) * p.byteCost * p.byteCostFactor
+	crossDomainCost := float64(c.Bytes) * p.byteCost
 	if crossDomainCost > maxCrossDomainCost && p.domainReachable(groups) {
 		return best
 	}
 	for _, u := range p.twoUsable(groups.otherDomains, c, now) {
-		consider(u, hopCost+crossDomainCost)
+		consider(u, hopCost+crossDomainCost*p.byteCostFactor)
 	}
 	return best
 }
--- a/internal/pick/picker_test.go
+++ b/internal/pick/picker_test.go
@@ -112,6 +112,22 @@
 	is.Equal(f.pickedDomains(testLookup)["none"], 0)
 }
 
+// TestRefusedCallsLeaveTheirDomainUnderContention guards against calls that are refused while
+// another failure domain has room, because their bytes count more under contention: that decides
+// between domains that would both take the call. The call here is worth three times its bytes.
+func TestRefusedCallsLeaveTheirDomainUnderContention(t *testing.T) {
+	is := is.New(t)
+	const bytes = 8000
+	f := newPickerFixture("a", "b")
+	f.SetContention(true)
+	f.reportLoad("b", outcome.Load{InFlight: 4, Slots: 12, Service: testService})
+	for i := range 3 {
+		f.Observe(f.service.Upstreams[i], config.Normal, outcome.Refuse(outcome.ReasonOverload, time.Second))
+	}
+	is.Equal(f.pickedDomains(bytes), map[string]int{"b": 300})
+	is.Equal(f.pickedDomains(testUpload), map[string]int{"none": 300})
+}
+
 // TestUploadsAreRefusedRatherThanSentToAnotherDomain: the upstreams of the caller's
 // domain refuse calls and set a retry-after time. Sending an upload to another domain
 // would cost 2.6 times its worth, so it is refused; if the caller's domain has no
@@ -230,3 +246,27 @@
 	_, refusal, _ = f.Pick(f.service, Criteria{Urgency: config.Normal, Objective: testObjective})
 	is.Equal(refusal.Reason, outcome.ReasonOverload) // the upstreams refused, not their owners
 }
+
+// TestRefusalReasonIsThatOfTheAvoidance guards against calls that are refused for the last
+// reason that owners gave to any call: short calls, which never wait for a link, would be shown
+// as refused for it, and long ones that only the link keeps away as refused for slots.
+func TestRefusalReasonIsThatOfTheAvoidance(t *testing.T) {
+	is := is.New(t)
+	f := newPickerFixture("a")
+	for _, u := range f.service.Upstreams {
+		f.Observe(u, config.Normal, outcome.Refuse(outcome.ReasonUpstreamLimit, 100*time.Millisecond))
+		f.Observe(u, config.Normal, outcome.Refuse(outcome.ReasonLink, 200*time.Millisecond))
+	}
+	short := Criteria{Urgency: config.Normal, Objective: testObjective}
+	long := Criteria{Urgency: config.Normal, Objective: testObjective, Answer: outcome.LongBody}
+	_, refusal, _ := f.Pick(f.service, short)
+	is.Equal(refusal, outcome.Refuse(outcome.ReasonUpstreamLimit, 100*time.Millisecond))
+	_, refusal, _ = f.Pick(f.service, long)
+	is.Equal(refusal, outcome.Refuse(outcome.ReasonLink, 200*time.Millisecond))
+	for _, u := range f.service.Upstreams {
+		f.Observe(u, config.Normal, outcome.Refuse(outcome.ReasonUpstreamLimit, 100*time.Millisecond))
+	}
+	f.at = f.at.Add(150 * time.Millisecond)
+	_, refusal, _ = f.Pick(f.service, long)
+	is.Equal(refusal, outcome.Refuse(outcome.ReasonLink, 50*time.Millisecond))
+}
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -132,10 +132,18 @@
 	return &Coordinator{tolerance: t, domains: 1, buckets: map[string]*bucket{}}
 }
 
-// Set applies limits, each of which is divided among the given number of failure domains.
+// Set applies limits, each of which is divided among the given number of failure domains. Where
+// a limit is lowered, leases are lowered with it, at both ends: otherwise they could add up to
+// more than the new limit.
 func (c *Coordinator) Set(limits map[string]Limit, domains int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for name, b := range c.buckets {
+		if rate, before := limits[name].Rate, c.limits[name].Rate; rate < before {
+			b.leasedOut = b.leasedOut.scaled(rate / before)
+			b.leasedIn = b.leasedIn.scaled(rate / before)
+		}
+	}
 	c.limits, c.domains = limits, max(1, domains)
 	maps.DeleteFunc(c.buckets, func(name string, _ *bucket) bool { return limits[name].Rate == 0 })
 }
@@ -190,8 +198,7 @@
 		return n // no limit
 	}
 	granted := b.take(n, 0)
-	b.demand += float64(n) / demandAverageSeconds
-	b.denied += float64(n-granted) / demandAverageSeconds
+	b.recordRequest(n, granted)
 	return granted
 }
 
@@ -203,13 +210,18 @@
 		return n // no limit
 	}
 	granted := b.take(n, b.returningReserve())
-	b.demand += float64(n) / demandAverageSeconds
+	b.recordRequest(n, granted)
 	b.returning += float64(n) / demandAverageSeconds
-	b.denied += float64(n-granted) / demandAverageSeconds
 	return granted
 }
 
-// take spends the tokens for up to n calls and returns how many. It leaves a reserve.
+// recordRequest adds a request for n grants to the demand, and those refused to denied.
+func (b *bucket) recordRequest(n, granted int) {
+	b.demand += float64(n) / demandAverageSeconds
+	b.denied += float64(n-granted) / demandAverageSeconds
+}
+
+// take spends the tokens for up to n calls, but none of the reserve, and returns for how many.
 func (b *bucket) take(n int, reserve float64) int {
 	taken := max(0, min(n, int(math.Floor(b.tokens()-reserve))))
 	b.spend(float64(taken))
