--- a/internal/admission/nestedfirst.go
+++ b/internal/admission/nestedfirst.go
@@ -9,9 +9,7 @@
 	// directShare is the share of the slots that waiting direct calls may use if all nested
 	// calls go first. Without it, a service whose nested calls alone exceed its slots would
 	// answer no direct call, however urgent. The owners of the nested calls' parents then
-	// start fewer runs. A direct call counts as if it took as long as its objective allows,
-	// and no less than the service time: otherwise calls whose objective has passed would all
-	// go before nested calls.
+	// start fewer runs. A direct call counts as if it took as long as its objective allows.
 	directShare = 0.1
 	// nestedRateTime is the time constant of the mean rate at which nested calls are
 	// admitted.
@@ -71,8 +69,7 @@
 
 // directInterval returns the longest time from one direct call to the next while they wait.
 func (g *Gate) directInterval(w *Waiter) time.Duration {
-	taken := max(w.allowed, g.serviceTime())
-	return time.Duration(float64(taken) / (directShare * float64(max(1, g.limit()))))
+	return time.Duration(max(0, float64(w.allowed)) / (directShare * float64(max(1, g.limit()))))
 }
 
 // firstDirect returns the direct call that would be admitted first, or nil.
