Admission and egress: one field a line, plainer comments

Cause: two composite literals held many fields on one line, and four comments needed a second reading. Change: formatting and comments only.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -201,10 +201,15 @@
 
 // newWaiter returns a waiter for an attempt, with its rank.
 func (g *Gate) newWaiter(a Request) *Waiter {
-	f := g.flowsOf(a)
-	now := g.now()
+	f, now := g.flowsOf(a), g.now()
 	return &Waiter{
-		Request: a, rank: rank{urgency: a.Urgency, priority: g.hasPriority(a)}, allowed: a.allowedTime(now), flows: f, start: f.start(a.Flow), arrival: g.arrivals, decided: make(chan struct{}),
+		Request: a,
+		rank:    rank{urgency: a.Urgency, priority: g.hasPriority(a)},
+		allowed: a.allowedTime(now),
+		flows:   f,
+		start:   f.start(a.Flow),
+		arrival: g.arrivals,
+		decided: make(chan struct{}),
 	}
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,8 +10,7 @@
 // rank orders attempts that wait for the same upstream.
 type rank struct {
 	urgency config.Urgency
-	// priority is set for nested calls whose parent upstream is shorter of slots than the
-	// upstream that they wait for.
+	// priority is set for nested calls that go before all direct ones. See Gate.hasPriority.
 	priority bool
 }
 
@@ -56,9 +55,10 @@
 	rank
 	// allowed is the time from the arrival until the objective, or else the deadline.
 	allowed time.Duration
-	// start is the attempt's start tag among flows, arrival its number among all arrivals.
-	flows   *flows
-	start   uint64
+	// flows are those among which the attempt takes turns, and start is its start tag there.
+	flows *flows
+	start uint64
+	// arrival is the attempt's number among all arrivals.
 	arrival uint64
 	decided chan struct{}
 	refused outcome.Reason
--- a/internal/callpath/owneregress.go
+++ b/internal/callpath/owneregress.go
@@ -12,7 +12,7 @@
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
 
-// setEgressHeader sets the header of the wait for the link unless there is none.
+// setEgressHeader sets the header of the wait for the link, unless the wait is zero.
 func setEgressHeader(h http.Header, wait time.Duration) {
 	if wait > 0 {
 		h.Set(headerEgress, strconv.FormatInt(wait.Microseconds(), 10))
@@ -35,7 +35,10 @@
 		return outcome.Result{}, true
 	}
 	r := egress.Request{
-		Bytes: min(a.AnswerBytes, maxBufferedAnswer), Service: expectedTime(loc.gate.Load()), Deadline: a.Deadline, Objective: a.Objective,
+		Bytes:     min(a.AnswerBytes, maxBufferedAnswer),
+		Service:   expectedTime(loc.gate.Load()),
+		Deadline:  a.Deadline,
+		Objective: a.Objective,
 	}
 	t, refusal, ok := o.egress.Admit(r)
 	if !ok {
--- a/internal/egress/admit.go
+++ b/internal/egress/admit.go
@@ -130,8 +130,8 @@
 
 // maxWait returns how long the response of an attempt may wait for the link: so that it can
 // arrive within its objective, and in any case before its deadline. A longer queue would
-// carry no more responses but make all of them late. A response that is late without any
-// wait is no matter of the link: it is sent if it need not wait.
+// carry no more responses but make all of them late. An attempt that would be late without
+// any wait is still admitted if the link is idle.
 func (q *Queue) maxWait(r Request, now time.Time) time.Duration {
 	busy := r.Service + q.duration(r.Bytes)
 	limit := r.Deadline.Sub(now) - busy
