Egress, runs and crossdomain: plainer comments, one loop instead of two

Comments needed a second reading, spoke of a part where they mean a fraction, and two functions repeated the loop that fills the link. Rewords them and moves the loop to freeAfterSending. The unit tests of the three packages pass.

--- a/internal/crossdomain/crossdomain.go
+++ b/internal/crossdomain/crossdomain.go
@@ -11,7 +11,8 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Purpose is what a connection carries at a time.
+// Purpose says what the bytes on a connection are sent for. It changes when a pooled
+// connection is reused.
 type Purpose int32
 
 const (
@@ -110,7 +111,7 @@
 		return
 	}
 	c.undecided.Add(int64(n))
-	c.countUndecided() // the purpose may have been set meanwhile
+	c.countUndecided() // SetPurpose may have run since the purpose was loaded
 }
 
 // countUndecided counts the undecided bytes if the connection has a purpose.
@@ -120,17 +121,21 @@
 	}
 }
 
+// purposeKey is the context key of a Purpose.
 type purposeKey struct{}
 
-// WithPurpose returns a context with which a dialer of DialContext opens connections that are
-// counted for the purpose.
+// dialFunc is the type of http.Transport.DialContext.
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// WithPurpose returns a context for requests whose connections are counted for the purpose
+// if the dial function returned by Counters.DialContext opens them.
 func WithPurpose(ctx context.Context, p Purpose) context.Context {
 	return context.WithValue(ctx, purposeKey{}, p)
 }
 
 // DialContext returns a dial function whose connections are counted if the context of the request
 // that opens them has a purpose.
-func (c *Counters) DialContext(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func (c *Counters) DialContext(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		p, ok := ctx.Value(purposeKey{}).(Purpose)
--- a/internal/egress/admit.go
+++ b/internal/egress/admit.go
@@ -108,23 +108,28 @@
 // freeAfter returns when the link will have sent all that is scheduled and all responses
 // that are due by the given time. A response that is overdue counts as due now.
 func (q *Queue) freeAfter(t, now time.Time) time.Time {
+	due := 0
+	for due < len(q.expected) && !q.expected[due].due.After(t) {
+		due++
+	}
+	return q.freeAfterSending(q.expected[:due], now)
+}
+
+// freeAfterSending returns when the link will have sent all that is scheduled and, after
+// that, the responses of these reservations, which are in the order of due times.
+func (q *Queue) freeAfterSending(reserved []*reservation, now time.Time) time.Time {
 	free := q.freeFrom(now)
-	for _, r := range q.expected {
-		if r.due.After(t) {
-			break
-		}
+	for _, r := range reserved {
 		free = later(free, r.due).Add(q.duration(r.bytes))
 	}
 	return free
 }
 
-// retryAfter returns the time after which an attempt that is due at the given time, and
-// may wait for the given time, would be admitted if no other were in between.
+// retryAfter returns how long after now an attempt would be admitted if no other is admitted
+// before it. due is when its response would be complete if it started now; limit is how long
+// the response may wait for the link.
 func (q *Queue) retryAfter(due time.Time, limit time.Duration, now time.Time) time.Duration {
-	free := q.freeFrom(now)
-	for _, r := range q.expected {
-		free = later(free, r.due).Add(q.duration(r.bytes))
-	}
+	free := q.freeAfterSending(q.expected, now)
 	return min(max(free.Sub(due)-limit, outcome.MinRetryAfter), outcome.MaxRetryAfter)
 }
 
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -1,5 +1,5 @@
 // Package egress schedules the long responses that a VM sends to other VMs, so that they
-// share its network link with short messages that nobody should wait for: responses to
+// share its network link with short messages that must not be delayed: responses to
 // nested calls, new connections and control traffic. It does no I/O; the clock is passed
 // in.
 //
@@ -17,9 +17,9 @@
 	// linkShare is the share of the link that responses may use. The rest is for control
 	// traffic, acknowledgements and opening connections, which are not scheduled.
 	linkShare = 0.85
-	// maxShortBacklog is how far ahead short responses book the link. They are sent at once,
-	// and if they alone exceed the link, bookings beyond this would refuse long responses
-	// long after the excess has ended.
+	// maxShortBacklog is how far ahead short responses can book the link. They are sent
+	// without waiting. If they alone exceeded the link, an unbounded backlog would keep
+	// refusing long responses after the excess has ended.
 	maxShortBacklog = time.Second
 	// maxDuration bounds the time that a response is assumed to take, so that times stay
 	// within the range of a time.Duration whatever the link and the size are.
--- a/internal/egress/schedule.go
+++ b/internal/egress/schedule.go
@@ -9,8 +9,9 @@
 	// minChunkBytes is the size of the parts in which a long response is written on links
 	// of up to 77 Mbit/s. A short response waits for at most one part.
 	minChunkBytes = 8 << 10
-	// minChunkTime is the shortest time that the sending of a part takes: on fast links,
-	// parts of minChunkBytes would need more timers and writes than they save in delay.
+	// minChunkTime is the shortest time in which a part is sent. It makes parts larger than
+	// minChunkBytes on fast links, where small parts would cost many timers and writes and
+	// save little delay.
 	minChunkTime = time.Millisecond
 	// maxBufferedBytes is how many bytes of responses are kept in memory for the link while
 	// the slots of their upstreams are used again. A link of 10 Mbit/s needs 15 s for them,
@@ -28,7 +29,7 @@
 }
 
 // Schedule is the time on the link that is reserved for one response. Close must be called
-// when the response was sent or given up. The zero Schedule has no limit.
+// when the response has been sent or given up. The zero Schedule has no limit.
 type Schedule struct {
 	queue *Queue
 	b     *booking
@@ -61,8 +62,8 @@
 	return sum
 }
 
-// KeepSlot reports whether the response's upstream should keep its slot until the response
-// was sent, because many bytes are waiting for the link already.
+// KeepSlot reports whether the response should hold its upstream's slot until it has been
+// sent, because too many bytes are already waiting for the link.
 func (s Schedule) KeepSlot() bool { return s.keepSlot }
 
 // At returns when the part of the response that begins at the given offset may be written.
--- a/internal/runs/arrivals.go
+++ b/internal/runs/arrivals.go
@@ -44,8 +44,8 @@
 // perSecond returns the rate of new runs.
 func (a *arrivals) perSecond() float64 { return a.perWindow() / windowLength.Seconds() }
 
-// position returns which part of the arrivals goes before a run: the more urgent ones, and
-// of the equally urgent ones those with a lower fraction.
+// position returns the fraction of the arrivals that go before a run: the more urgent ones,
+// and of the equally urgent ones those with a lower fraction.
 func (a *arrivals) position(urgency config.Urgency, fraction float64) float64 {
 	total := a.perWindow()
 	if total == 0 {
--- a/internal/runs/limiter.go
+++ b/internal/runs/limiter.go
@@ -19,7 +19,7 @@
 // Change describes a route whose runs are limited from now on, or no longer.
 type Change struct {
 	Route string
-	// Part is the part of the new runs that is admitted.
+	// Part is the fraction of the new runs that is admitted.
 	Part float64
 	// Starved and Ended are the numbers of runs on which the decision is based: those whose
 	// nested call was refused, and all that ended.
@@ -39,8 +39,8 @@
 	routes map[string]*route
 }
 
-// New returns a Limiter that admits everything. It calls onChange when the admitted part of
-// a route drops below 1 and when it returns to 1; onChange must not block or call the
+// New returns a Limiter that admits everything. It calls onChange when the admitted fraction
+// of a route drops below 1 and when it returns to 1; onChange must not block or call the
 // Limiter. It may be nil.
 func New(now func() time.Time, onChange func(Change)) *Limiter {
 	if onChange == nil {
@@ -91,7 +91,7 @@
 	}
 }
 
-// Lowest returns the lowest admitted part of all routes.
+// Lowest returns the lowest admitted fraction of all routes.
 func (l *Limiter) Lowest() float64 {
 	if !l.Active() {
 		return 1
@@ -130,7 +130,8 @@
 	}
 }
 
-// current returns the entry of a route as of now, or nil if the route is not tracked.
+// current returns the entry of a route as of now, or nil if the route is not tracked. It
+// closes the windows that have ended, and drops the route if it is then idle.
 func (l *Limiter) current(name string) *route {
 	r := l.routes[name]
 	if r == nil {
@@ -148,10 +149,11 @@
 	return r
 }
 
-// closeWindow ends a window and reports the change, if any.
+// closeWindow ends a window and reports whether the route became limited or unlimited.
 func (l *Limiter) closeWindow(name string, r *route) {
-	before, evidence := r.limited(), r.closeWindow()
-	if r.limited() != before {
+	wasLimited := r.limited()
+	evidence := r.closeWindow()
+	if r.limited() != wasLimited {
 		l.onChange(Change{Route: name, Part: r.part(), Starved: evidence.starved, Ended: evidence.ended})
 	}
 }
--- a/internal/runs/route.go
+++ b/internal/runs/route.go
@@ -8,26 +8,25 @@
 const (
 	// windowLength is the interval at which the admitted rate is adapted.
 	windowLength = 500 * time.Millisecond
-	// retained is the weight that the counts of a window keep in the next one: they cover
-	// some two seconds, so that an upstream with few runs a second is judged by more than
-	// those of one window.
+	// retained is the weight that the counts of a window keep in the next one. Together they
+	// cover about two seconds: at an upstream with few runs a second, one window has too few.
 	retained = 0.7
 	// starvedThreshold is the starved fraction of the runs that is tolerated. Up to a
 	// twentieth, a retry within the retry budget serves the caller.
 	starvedThreshold = 0.05
 	// toleratedStarved is how many starved runs are tolerated beyond that fraction: at an
-	// upstream with few runs a second, two are an accident.
+	// upstream with few runs a second, two may be a coincidence.
 	toleratedStarved = 2
-	// increasePerSecond is by which part of the arrivals the admitted rate increases per
-	// second.
+	// increasePerSecond is the increase of the admitted rate per second, as a fraction of the
+	// arrival rate.
 	increasePerSecond = 0.1
-	// minPart is the part of the arrivals that is always admitted, to notice when nested
+	// minPart is the fraction of the arrivals that is always admitted, to notice when nested
 	// calls are served again.
 	minPart = 0.05
-	// fullPart is the part from which on everything is admitted: less than
-	// starvedThreshold would be refused.
+	// fullPart is the admitted fraction from which on all runs are admitted: the rest is no
+	// more than the starved fraction that is tolerated.
 	fullPart = 1 - starvedThreshold
-	// partTolerance absorbs rounding errors in comparisons of parts.
+	// partTolerance absorbs rounding errors in comparisons of rates.
 	partTolerance = 1e-9
 	// trackingTime is how long a route that is not limited is tracked after its last starved
 	// run.
@@ -45,9 +44,9 @@
 	return c.starved / c.ended
 }
 
-// route is the state of one route. It limits the rate of new runs rather than their part of
-// the arrivals: what nested calls can be served does not depend on how many runs arrive, so
-// that no run is refused any more as soon as a peak of arrivals has ended.
+// route is the state of one route. It limits the rate of new runs rather than the admitted
+// fraction of the arrivals: how many nested calls can be served does not depend on how many
+// runs arrive. When a peak of arrivals ends, the limit thus stops refusing runs at once.
 type route struct {
 	// rate is how many new runs per second are admitted, infinite if all of them.
 	rate     float64
@@ -55,19 +54,21 @@
 	// window counts the runs that ended in the current window, recent those of the
 	// windows before it with decaying weight.
 	window, recent counts
-	// stale is the number of runs that ended in the current window and are not counted.
+	// stale is the number of runs that ended in the current window and are not counted,
+	// because they began before decreasedAt.
 	stale     int
 	windowEnd time.Time
-	// decreasedAt is when the rate was last decreased. Runs that began earlier are not
-	// counted: they do not show the effect.
+	// decreasedAt is when the rate was last decreased. Runs that began earlier do not show
+	// the effect of that.
 	decreasedAt time.Time
-	starvedAt   time.Time
+	// starvedAt is the end of the last window with a starved run.
+	starvedAt time.Time
 }
 
-// limited reports whether a part of the runs is refused.
+// limited reports whether the rate of new runs is limited.
 func (r *route) limited() bool { return !math.IsInf(r.rate, 1) }
 
-// part returns the part of the arrivals that is admitted.
+// part returns the fraction of the arrivals that is admitted.
 func (r *route) part() float64 {
 	if !r.limited() {
 		return 1
@@ -99,7 +100,10 @@
 // counts on which the decision is based.
 func (r *route) closeWindow() counts {
 	r.arrivals.closeWindow()
-	evidence := counts{starved: retained*r.recent.starved + r.window.starved, ended: retained*r.recent.ended + r.window.ended}
+	evidence := counts{
+		starved: retained*r.recent.starved + r.window.starved,
+		ended:   retained*r.recent.ended + r.window.ended,
+	}
 	last, stale := r.window, r.stale
 	r.recent, r.window, r.stale = evidence, counts{}, 0
 	switch {
