Call path and admission: plainer comments, one default objective

Comments left out what they compare with or told why in an order that needs a second reading; the objective of a policy without one was derived in two places. Rewords them, moves the derivation to objectiveOf and writes long field lists one a line. go vet passes, and so do the unit tests of admission, pick, outcome and platform; those of callpath were not run.

--- a/internal/admission/nestedfirst.go
+++ b/internal/admission/nestedfirst.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// directShare is the share of the slots that waiting direct calls may use if all nested
-	// calls go first. Without it, a service whose nested calls alone exceed its slots would
-	// answer no direct call, however urgent. The owners of the nested calls' parents then
-	// start fewer runs. A direct call counts as if it took as long as its objective allows.
+	// directShare is the fraction of the slots that is left to waiting direct calls while
+	// nested calls go first, if each direct call holds its slot until its objective. Without
+	// it, a service whose nested calls need more than its slots would answer no direct call,
+	// however urgent.
 	directShare = 0.1
 	// nestedRateTime is the time constant of the mean rate at which nested calls are
 	// admitted.
@@ -56,7 +56,8 @@
 	g.nestedRate.add(now)
 }
 
-// nextWaiter returns the waiter that is admitted next.
+// nextWaiter returns the waiter that is admitted next: the head of the queue or, if no direct
+// call was admitted for too long, the first direct one.
 func (g *Gate) nextWaiter() *Waiter {
 	if !g.nestedFirst {
 		return g.queue[0]
@@ -67,7 +68,8 @@
 	return g.queue[0]
 }
 
-// directInterval returns the longest time from one direct call to the next while they wait.
+// directInterval returns how long after the last direct call a waiting one goes before nested
+// calls.
 func (g *Gate) directInterval(w *Waiter) time.Duration {
 	return time.Duration(max(0, float64(w.allowed)) / (directShare * float64(max(1, g.limit()))))
 }
@@ -94,8 +96,8 @@
 	return n
 }
 
-// displacedNestedFirst is displaced where all nested calls go first. The first direct call
-// keeps its place, since a share of the slots is for direct calls.
+// displacedNestedFirst is displaced for a gate with nestedFirst. The first direct call keeps
+// its place, since directShare of the slots is for direct calls.
 func (g *Gate) displacedNestedFirst(w *Waiter) *Waiter {
 	kept := g.queue.firstDirect()
 	if !w.Nested && (kept == nil || w.before(kept)) {
@@ -113,21 +115,22 @@
 	return last
 }
 
-// directWaitFor estimates the time until a direct call will have been admitted that has n-1
-// attempts ahead of it, direct-1 of them direct, while further nested calls arrive and go
-// first. Otherwise a direct call could be queued that gets no slot before its deadline.
+// directWaitFor estimates how long a direct call waits that is the n-th attempt in the queue
+// and the direct-th direct one. Nested calls that arrive meanwhile go before it; without them
+// in the estimate, direct calls would be queued that get no slot before their deadline.
 func (g *Gate) directWaitFor(w *Waiter, n, direct int) time.Duration {
 	wait := g.waitFor(n)
 	longest := max(wait, time.Duration(direct)*g.directInterval(w))
-	nested := g.nestedRate.perSecond(g.now()) * wait.Seconds() / float64(n)
-	if nested >= 1 {
+	admissionInterval := wait.Seconds() / float64(n)
+	nestedShare := g.nestedRate.perSecond(g.now()) * admissionInterval // of all admissions
+	if nestedShare >= 1 {
 		return longest
 	}
-	return time.Duration(min(float64(longest), float64(wait)/(1-nested)))
+	return time.Duration(min(float64(longest), float64(wait)/(1-nestedShare)))
 }
 
-// maxNestedWait returns how long a nested call may wait that goes before all direct calls,
-// given the time until its objective. The mean service time is not deducted: it is mostly
+// maxNestedWait returns how long a nested call may wait if nested calls go before all direct
+// ones, given the time until its objective. The mean service time is not deducted: it is mostly
 // that of direct calls, which take longer.
 func (g *Gate) maxNestedWait(untilObjective time.Duration) time.Duration {
 	return time.Duration(max(maxWaitFraction*float64(untilObjective), minWaitFraction*float64(g.serviceTime())))
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -5,13 +5,14 @@
 const (
 	// paceMaxAge is how long a reported pace is valid.
 	paceMaxAge = time.Second
-	// maxPaceReports is how many reports are kept, and minPaceInterval the time between two of
-	// them: together they span most runs.
+	// maxPaceReports is the number of reports that are kept, and minPaceInterval the least time
+	// between a report and the next but one. Together they cover the duration of most runs.
 	maxPaceReports  = 32
 	minPaceInterval = 20 * time.Millisecond
 )
 
-// paceReport is what an upstream reported: how long work takes there, as a multiple of the usual.
+// paceReport is a reported pace: how long work takes at the upstream, as a multiple of the usual
+// time.
 type paceReport struct {
 	pace float64
 	at   time.Time
@@ -24,8 +25,9 @@
 	n       int
 }
 
-// record adds a report. It replaces the previous one if that is very recent, so that the history
-// spans a minimum of time however often the upstream answers.
+// record adds a report. It replaces the previous one if less than minPaceInterval has passed since
+// the one before that, so that the history spans a minimum of time however often the upstream
+// answers.
 func (h *paceHistory) record(now time.Time, pace float64) {
 	if h.n >= 2 && now.Sub(h.reports[h.n-2].at) < minPaceInterval {
 		h.n--
@@ -84,7 +86,7 @@
 }
 
 // RecordPace records the pace that the upstream reports: how long work takes there at this moment,
-// as a multiple of the usual.
+// as a multiple of the usual time.
 func (g *Gate) RecordPace(pace float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -40,7 +40,7 @@
 	// and owners pass it on with the results of attempts.
 	HeaderDraining = "Comfrey-Draining"
 	// HeaderPace holds how long work takes on an upstream's VM at this moment, as a multiple of
-	// the usual. Upstreams report it in responses; owners send the Pace of the load in it, unless
+	// the usual time. Upstreams report it in responses; owners send the Pace of the load in it, unless
 	// that is 1.
 	HeaderPace   = "Comfrey-Pace"
 	headerPrefix = "Comfrey-"
@@ -78,7 +78,7 @@
 	// headerAnswerBytes holds Attempt.AnswerBytes if that is not zero.
 	headerAnswerBytes = "Comfrey-Answer-Bytes"
 	// headerEgress is how long a long response would wait for the link of the owner's VM, in
-	// microseconds. It is absent if that is not at all.
+	// microseconds. It is absent if the response would not wait.
 	headerEgress = "Comfrey-Egress-Us"
 	// headerAnyHost is present if the route matches requests for any host.
 	headerAnyHost = "Comfrey-Any-Host"
--- a/internal/callpath/dialect.go
+++ b/internal/callpath/dialect.go
@@ -39,7 +39,7 @@
 	// never report it.
 	ReportedRequests func(http.Header) (int, bool)
 	// Pace returns how long work takes on an upstream's VM at this moment, as a multiple of the
-	// usual, if the upstream reports that in a response. False: the response does not say, or the
+	// usual time, if the upstream reports that in a response. False: the response does not say, or the
 	// report is malformed. Nil: upstreams never report it.
 	Pace func(http.Header) (float64, bool)
 	// RateLimit returns the rate limit that an upstream states in a response: how many
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -1,8 +1,10 @@
 package callpath
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
@@ -118,18 +120,26 @@
 // that sets none.
 const defaultObjectiveDivisor = 4
 
+// objectiveOf returns the objective of a policy or, if it sets none, a part of its timeout.
+func objectiveOf(p config.Policy) time.Duration {
+	return cmp.Or(p.Objective, p.Timeout/defaultObjectiveDivisor)
+}
+
 // criteria returns what the attempt requires of an upstream, estimated from recent calls
-// of its route. It also sets the attempt's TypicalLatency.
+// of its route. It also sets the attempt's TypicalLatency and AnswerBytes.
 func (in *Ingress) criteria(c *call, tried []string) pick.Criteria {
-	objective := c.route.Policy.Objective
-	if objective == 0 {
-		objective = c.route.Policy.Timeout / defaultObjectiveDivisor
+	objective := objectiveOf(c.route.Policy)
+	criteria := pick.Criteria{
+		Urgency:   in.rankUrgency(&c.attempt),
+		Objective: objective,
+		Body:      len(c.attempt.Body),
+		Tried:     tried,
 	}
-	criteria := pick.Criteria{Urgency: in.rankUrgency(&c.attempt), Objective: objective, Body: len(c.attempt.Body), Tried: tried}
 	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
 	c.attempt.TypicalLatency = criteria.TypicalLatency
+	criteria.Answer = in.picker.ExpectAnswer(c.route.Name)
 	c.attempt.AnswerBytes = 0
-	if criteria.Answer = in.picker.ExpectAnswer(c.route.Name); criteria.Answer >= outcome.LongBody {
+	if criteria.Answer >= outcome.LongBody {
 		c.attempt.AnswerBytes = criteria.Answer
 	}
 	return criteria
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -40,8 +40,8 @@
 	// RefusedRuns the attempts refused because runs of their route starve.
 	StarvedRuns metrics.Counter
 	RefusedRuns metrics.Counter
-	// AdmittedRuns is the lowest part, over the routes of the upstreams of this VM, of the
-	// new runs that is admitted.
+	// AdmittedRuns is the lowest admitted fraction of new runs over the routes of the
+	// upstreams of this VM.
 	AdmittedRuns metrics.GaugeFloat64
 	// admittedPart returns the value of AdmittedRuns at present.
 	admittedPart atomic.Pointer[func() float64]
@@ -77,17 +77,31 @@
 		return metrics.GetOrRegisterCounter("calls."+name, r)
 	}
 	m := &Metrics{
-		EgressSent: metrics.GetOrRegisterCounter("egress.sent_bytes", r), EgressRefused: metrics.GetOrRegisterCounter("egress.refused", r),
-		Calls: counter("received"), Answered: counter("answered"), NotRun: counter("not_run"),
-		Unknown: counter("unknown"), Retries: counter("retries"), RetryDenied: counter("retries_denied"),
+		Calls:            counter("received"),
+		Answered:         counter("answered"),
+		NotRun:           counter("not_run"),
+		Unknown:          counter("unknown"),
+		Retries:          counter("retries"),
+		RetryDenied:      counter("retries_denied"),
 		RetriesFoundRoom: counter("retries_found_room"),
-		Voided:           counter("voided"), Silent: counter("silent"), Started: counter("attempts_started"),
-		Sent: counter("attempts_sent"), RateLimit: metrics.GetOrRegisterGaugeFloat64("upstreams.rate_limit", r),
-		Refused: counter("attempts_refused"), CrashedAttempts: counter("upstream_ended"),
-		StarvedRuns: metrics.GetOrRegisterCounter("runs.starved", r), RefusedRuns: metrics.GetOrRegisterCounter("runs.refused", r),
-		OverLimit: counter("over_limit"), UnknownKey: counter("unknown_key"), Stale: counter("configuration_stale"),
-		Quarantined: counter("quarantined"), UpstreamCrashes: metrics.GetOrRegisterCounter("upstreams.ended", r), Latency: metrics.GetOrRegisterTimer("calls.latency", r),
-		CrossDomain: crossdomain.NewCounters(r),
+		Voided:           counter("voided"),
+		Silent:           counter("silent"),
+		Started:          counter("attempts_started"),
+		Sent:             counter("attempts_sent"),
+		Refused:          counter("attempts_refused"),
+		CrashedAttempts:  counter("upstream_ended"),
+		Quarantined:      counter("quarantined"),
+		OverLimit:        counter("over_limit"),
+		UnknownKey:       counter("unknown_key"),
+		Stale:            counter("configuration_stale"),
+		RateLimit:        metrics.GetOrRegisterGaugeFloat64("upstreams.rate_limit", r),
+		UpstreamCrashes:  metrics.GetOrRegisterCounter("upstreams.ended", r),
+		StarvedRuns:      metrics.GetOrRegisterCounter("runs.starved", r),
+		RefusedRuns:      metrics.GetOrRegisterCounter("runs.refused", r),
+		EgressSent:       metrics.GetOrRegisterCounter("egress.sent_bytes", r),
+		EgressRefused:    metrics.GetOrRegisterCounter("egress.refused", r),
+		Latency:          metrics.GetOrRegisterTimer("calls.latency", r),
+		CrossDomain:      crossdomain.NewCounters(r),
 	}
 	metrics.NewRegisteredFunctionalGauge("egress.waiting_us", r, m.egressWaitMicros)
 	m.AdmittedRuns = metrics.NewRegisteredFunctionalGaugeFloat64("runs.admitted_part", r, m.admittedRuns)
--- a/internal/callpath/owneregress.go
+++ b/internal/callpath/owneregress.go
@@ -28,8 +28,9 @@
 	return time.Duration(us) * time.Microsecond
 }
 
-// reserveEgress reserves room on this VM's link for the response of an attempt that is
-// expected to be long. False: the attempt is refused with the returned result.
+// reserveEgress reserves room on this VM's link for the response of an attempt if that is
+// expected to be long, and sets the ticket. False: the attempt is refused with the returned
+// result.
 func (o *Owner) reserveEgress(loc *localUpstream, a *Attempt, ticket *egress.Ticket) (outcome.Result, bool) {
 	if a.AnswerBytes < outcome.LongBody || !o.egress.Limited() {
 		return outcome.Result{}, true
@@ -63,12 +64,16 @@
 		return
 	}
 	o.cfg.Logger.Info().Str("step", "egress").Str("request", a.Request).Str("peer", a.Upstream).
-		Int64("wait_us", refusal.Wait.Microseconds()).Int64("max_wait_us", refusal.MaxWait.Microseconds()).Int("bytes", r.Bytes).Int("expected", o.egress.Expected()).
-		Int64("service_us", r.Service.Microseconds()).Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()).
+		Int64("wait_us", refusal.Wait.Microseconds()).
+		Int64("max_wait_us", refusal.MaxWait.Microseconds()).
+		Int("bytes", r.Bytes).
+		Int("expected", o.egress.Expected()).
+		Int64("service_us", r.Service.Microseconds()).
+		Int64("retry_after_ms", refusal.RetryAfter.Milliseconds()).
 		Msg("attempt refused: its response would wait too long for the link")
 }
 
-// responseHeaderBytes is the size of a response's headers between daemons.
+// responseHeaderBytes is the typical size of a response's headers between daemons.
 const responseHeaderBytes = 450
 
 // writeAnswer writes an upstream's response to an ingress on another VM. A long response is
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -132,10 +132,11 @@
 }
 
 // receive accepts an attempt from another VM and runs it. An attempt whose response could
-// not be sent in time is refused before its body is read: after it was accepted, so that a
-// copy of an attempt that has run is not reported as not run. A long body is requested
-// from the sender only when its turn on the link has come and the upstream, by its current
-// load, would admit the attempt. The caller returns the ticket, also after a panic.
+// not be sent in time is refused before its body is read. It is accepted first, since that
+// detects a copy of an attempt that has run, which must not be reported as not run. A long
+// body is requested from the sender only when its turn on the link has come and the
+// upstream, by its current load, would admit the attempt. The caller must cancel the
+// ticket, also after a panic.
 func (o *Owner) receive(r *http.Request, a *Attempt, ticket *egress.Ticket) outcome.Result {
 	stalls := o.guard.stallCount()
 	loc, refusal := o.accept(a)
@@ -247,7 +248,7 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
-// writeResult writes a result without an answer as the response to an ingress.
+// writeResult writes a result other than an upstream's answer as the response to an ingress.
 func (o *Owner) writeResult(w http.ResponseWriter, r outcome.Result) {
 	o.setResultHeaders(w.Header(), r)
 	h := w.Header()
@@ -257,7 +258,7 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// setResultHeaders sets the headers of the response to an ingress.
+// setResultHeaders sets the headers that the responses to an ingress have for all results.
 func (o *Owner) setResultHeaders(h http.Header, r outcome.Result) {
 	if r.Outcome == outcome.Answered {
 		for name, values := range endToEndHeaders(r.Header) {
--- a/internal/callpath/ownerruns.go
+++ b/internal/callpath/ownerruns.go
@@ -7,8 +7,8 @@
 	"github.com/comfreygate/comfreygate/internal/runs"
 )
 
-// admitRun decides whether an attempt may start a run at a time when nested calls of such
-// runs are refused. False: it is refused with the returned result.
+// admitRun decides whether an attempt may start a run: while nested calls of the route's runs
+// are refused, only a fraction may. False: it is refused with the returned result.
 func (o *Owner) admitRun(loc *localUpstream, a *Attempt) (outcome.Result, bool) {
 	if a.Nested || !o.view.Load().LoadControl || !loc.runs.Active() {
 		return outcome.Result{}, true
@@ -53,8 +53,8 @@
 	return route.Name, true
 }
 
-// lowestRunsPart returns the lowest part of the new runs that is admitted, over all routes of
-// the upstreams of this VM. It is 1 where load control is not in force.
+// lowestRunsPart returns the lowest admitted fraction of new runs over all routes of the
+// upstreams of this VM. It is 1 where load control is not in force.
 func (o *Owner) lowestRunsPart() float64 {
 	if !o.view.Load().LoadControl {
 		return 1
@@ -75,5 +75,6 @@
 		msg = "new runs of the route are no longer limited"
 	}
 	o.cfg.Logger.Info().Str("step", "limit-runs").Str("peer", upstream).Str("route", c.Route).
-		Float64("part", c.Part).Float64("starved", c.Starved).Float64("ended", c.Ended).Msg(msg)
+		Float64("part", c.Part).Float64("starved", c.Starved).Float64("ended", c.Ended).
+		Msg(msg)
 }
--- a/internal/callpath/pressure.go
+++ b/internal/callpath/pressure.go
@@ -1,7 +1,6 @@
 package callpath
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -25,7 +24,7 @@
 }
 
 // longWaitDivisor divides the objective of a call to give the wait from which on a resource
-// counts as scarce: it leaves as much time for the work.
+// counts as scarce.
 const longWaitDivisor = 2
 
 // recordAttemptPressure records an attempt that was refused for lack of a resource, and the
@@ -39,13 +38,12 @@
 	if !r.HasLoad {
 		return
 	}
-	policy := c.route.Policy
-	longWait := cmp.Or(policy.Objective, policy.Timeout/defaultObjectiveDivisor) / longWaitDivisor
+	longWait := objectiveOf(c.route.Policy) / longWaitDivisor
 	key.Resource = pressure.Slots
 	in.cfg.Pressure.Waited(key, queueWait(r.Load), longWait)
 	key.Resource = pressure.Link
 	if !c.attempt.usesLink() {
-		longWait = math.MaxInt64 // however long, this call does not wait for it
+		longWait = math.MaxInt64 // this call does not wait for the link
 	}
 	in.cfg.Pressure.Waited(key, max(r.Load.Egress, r.Load.Intake), longWait)
 }
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -47,7 +47,8 @@
 	events       *event.Ring
 	metrics      *Metrics
 	// onOwnerUnreachable is called for the upstream of an attempt if its owner does not
-	// answer an inquiry about the attempt either. silent is set if it merely did not respond in time.
+	// answer an inquiry about the attempt either. silent is set if it merely did not respond
+	// in time.
 	onOwnerUnreachable func(u view.Upstream, silent bool)
 	// domain is the failure domain of this daemon, crossDomain counts the bytes to and from
 	// others; nil: they are not counted.
@@ -306,7 +307,7 @@
 	return out, true
 }
 
-// timedOut reports whether the error is that nothing arrived in time.
+// timedOut reports whether the error is a timeout.
 func timedOut(err error) bool {
 	var e net.Error
 	return errors.As(err, &e) && e.Timeout()
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -99,12 +99,12 @@
 	return now.Add(policy.Objective - c.waited)
 }
 
-// returningWait is the wait from which a call counts as returning: the shortest retry-after
-// of a call over its limit is twice as long.
+// returningWait is the wait beyond which a call counts as returning: half of the shortest
+// retry-after of a call over its limit.
 const returningWait = 50 * time.Millisecond
 
-// callerWait returns how long a caller has probably waited already. Zero for nested calls:
-// their timeout is what their parent has left.
+// callerWait returns how long a caller has probably waited already. It is zero for nested
+// calls, whose timeout is the time that their parent has left.
 func (in *Ingress) callerWait(c *call, loadControl bool, r *http.Request) time.Duration {
 	left, err := optionalMs(r.Header.Get(in.cfg.Dialect.Timeout), 0)
 	if err != nil || left == 0 || c.attempt.Nested {
--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -171,7 +171,7 @@
 	case r.Reason == outcome.ReasonQuarantined || r.Reason == outcome.ReasonSuspectRunning:
 		return false
 	case r.Reason == outcome.ReasonNestedOverload:
-		// All owners of the service share the service below.
+		// The runs of all owners call the same overloaded service.
 		return false
 	case in.futile(c, r):
 		return false
--- a/internal/outcome/load.go
+++ b/internal/outcome/load.go
@@ -18,8 +18,8 @@
 	Slots    int
 	// Service is the mean time that the upstream takes for an attempt, at its Pace.
 	Service time.Duration
-	// Pace is how long work takes at the upstream at this moment, as a multiple of the usual; zero
-	// or 1: as usual. It is not part of the encoded load.
+	// Pace is how long work takes at the upstream at this moment, as a multiple of the usual
+	// time; zero or 1: as usual. It is not part of the encoded load.
 	Pace float64
 	// Intake is how long a body of LongBody or more has to wait at present before it may
 	// be sent to the owner.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -52,8 +52,8 @@
 	// ReasonLink: the body or the response would wait too long for the network link of the
 	// owner's VM.
 	ReasonLink Reason = "link-busy"
-	// ReasonNestedOverload: a run would be wasted, since nested calls of its route's runs are
-	// being refused.
+	// ReasonNestedOverload: the run would be useless, since nested calls of its route's runs
+	// are being refused.
 	ReasonNestedOverload Reason = "nested-overload"
 	// ReasonUpstreamRefused: the upstream itself refused the request.
 	ReasonUpstreamRefused Reason = "upstream-refused"
@@ -152,8 +152,9 @@
 	return false
 }
 
-// Starved reports whether the call that a run made ends the run in vain: it was refused for
-// lack of capacity, waited for it until its deadline, or found no upstream.
+// Starved reports whether a nested call with this result makes its parent's run useless: it
+// was refused for lack of capacity, waited for capacity until its deadline, or found no
+// upstream.
 func (r Result) Starved() bool {
 	if r.Outcome != NotRun {
 		return false
--- a/internal/pick/link.go
+++ b/internal/pick/link.go
@@ -8,7 +8,7 @@
 )
 
 // linkBusyMaxAge is how long a report of a wait for an owner's link counts: an owner that
-// was lost right after it is still recognized within a second.
+// fails right after its report is still marked as unreachable within about a second.
 const linkBusyMaxAge = time.Second
 
 // usesLink reports whether the call has a long body or a long answer, which wait for the
@@ -17,8 +17,8 @@
 	return c.Body >= outcome.LongBody || c.Answer >= outcome.LongBody
 }
 
-// linkWait returns how long an upstream's owner asked to send it no calls of this kind,
-// because they would wait too long for its link.
+// linkWait returns for how long the call should not be sent to the upstream, because its
+// owner refused another one for the wait for its link.
 func (st *stats) linkWait(c Criteria, now time.Time) time.Duration {
 	if !c.usesLink() {
 		return 0
@@ -33,8 +33,8 @@
 	}
 }
 
-// LinkBusy reports whether the upstream's owner has just reported that responses wait for
-// its link.
+// LinkBusy reports whether the upstream's owner has recently reported that responses wait
+// for its link.
 func (p *Picker) LinkBusy(u view.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/pick/pace.go
+++ b/internal/pick/pace.go
@@ -7,8 +7,8 @@
 
 // reportedServiceTime returns the service time to expect of an upstream now, after its last load
 // report. The effect of the reported pace decreases linearly with its age: the service time at
-// pace 1 is valid for much longer, and an upstream that was slow at its last report would be
-// avoided long after it has become fast again.
+// pace 1 stays valid for much longer than the pace. With the full pace, an upstream that was slow
+// at its last report would be avoided long after it has become fast again.
 func reportedServiceTime(st *stats, now time.Time) time.Duration {
 	l := st.load
 	if l.Pace <= 0 || l.Pace == 1 {
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -100,8 +100,8 @@
 }
 
 // contentionByteCostFactor multiplies the cost of bytes between failure domains while callers
-// of all domains compete for the same resources: the others are then as full as this one, and
-// a call that leaves its domain rarely gains more than it takes from a call there.
+// of all domains compete for the same resources. The other domains are then as busy as this
+// one, so that a call that leaves its domain displaces a call there.
 const contentionByteCostFactor = 8
 
 // SetContention sets whether callers of all failure domains compete for the same resources.
--- a/internal/pick/reason.go
+++ b/internal/pick/reason.go
@@ -14,7 +14,7 @@
 	}
 }
 
-// avoidance returns how long the owner asked to send it no calls of this kind, and the reason.
+// avoidance returns for how long the owner asked to be sent no such call, and the reason.
 func (st *stats) avoidance(c Criteria, now time.Time) (wait time.Duration, reason outcome.Reason) {
 	wait = max(0, st.avoidUntil[c.Urgency].Sub(now))
 	if link := st.linkWait(c, now); link > wait {
@@ -23,8 +23,8 @@
 	return wait, st.refusedFor
 }
 
-// capacityReason returns the lack of capacity for which most owners keep the call away from
-// their upstreams, and ReasonOverload if no owner named one.
+// capacityReason returns the reason for which most owners are avoided for lack of capacity, and
+// ReasonOverload if there is none.
 func (p *Picker) capacityReason(s *view.Service, c Criteria, now time.Time) outcome.Reason {
 	counts := map[outcome.Reason]int{}
 	most := outcome.ReasonOverload
