Limits, peer and pressure: one field a line, plainer comments

Constructors had several fields and nested literals on one line, and some comments did not say which state they mean.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -69,8 +69,8 @@
 	// answer.
 	requests       metrics.Counter
 	failedRequests metrics.Counter
-	// granted and grantedReturning count the calls that coordinators granted, by kind;
-	// refusedReturning counts the returning calls that were refused.
+	// granted and grantedReturning count the first-time and the returning calls that
+	// coordinators granted, refusedReturning the returning calls that were refused.
 	granted          metrics.Counter
 	grantedReturning metrics.Counter
 	refusedReturning metrics.Counter
@@ -97,12 +97,31 @@
 // New returns a limiter without limits.
 func New(cfg Config) *Limiter {
 	return &Limiter{
-		domain: cfg.Domain, localLimiter: quota.NewLocalLimiter(), coordinator: quota.NewCoordinator(cfg.Tolerance), logger: cfg.Logger,
-		client:   &http.Client{Timeout: coordinatorTimeout, Transport: &http.Transport{DialContext: crossdomain.NewCounters(cfg.Metrics).DialContext(cfg.Dialer.DialContext), IdleConnTimeout: idleConnTimeout}},
-		requests: metrics.GetOrRegisterCounter("limits.asks", cfg.Metrics), failedRequests: metrics.GetOrRegisterCounter("limits.asks_failed", cfg.Metrics),
-		granted: metrics.GetOrRegisterCounter("limits.granted", cfg.Metrics), grantedReturning: metrics.GetOrRegisterCounter("limits.granted_again", cfg.Metrics),
+		domain:           cfg.Domain,
+		localLimiter:     quota.NewLocalLimiter(),
+		coordinator:      quota.NewCoordinator(cfg.Tolerance),
+		logger:           cfg.Logger,
+		client:           newClient(cfg),
+		requests:         metrics.GetOrRegisterCounter("limits.asks", cfg.Metrics),
+		failedRequests:   metrics.GetOrRegisterCounter("limits.asks_failed", cfg.Metrics),
+		granted:          metrics.GetOrRegisterCounter("limits.granted", cfg.Metrics),
+		grantedReturning: metrics.GetOrRegisterCounter("limits.granted_again", cfg.Metrics),
 		refusedReturning: metrics.GetOrRegisterCounter("limits.refused_again", cfg.Metrics),
-		reportNow:        make(chan struct{}, 1), waiters: map[waiterKey][]chan bool{},
+		reportNow:        make(chan struct{}, 1),
+		waiters:          map[waiterKey][]chan bool{},
+	}
+}
+
+// newClient returns the client for requests to limit coordinators. It counts the bytes of
+// those to other failure domains.
+func newClient(cfg Config) *http.Client {
+	counters := crossdomain.NewCounters(cfg.Metrics)
+	return &http.Client{
+		Timeout: coordinatorTimeout,
+		Transport: &http.Transport{
+			DialContext:     counters.DialContext(cfg.Dialer.DialContext),
+			IdleConnTimeout: idleConnTimeout,
+		},
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,7 +41,8 @@
 	sink    Sink
 	clock   *event.Clock
 	metrics metrics.Registry
-	// domain is the failure domain of this daemon, crossDomain counts the bytes to and from others.
+	// domain is the failure domain of this daemon, crossDomain counts the bytes to and from
+	// others.
 	domain      string
 	crossDomain *crossdomain.Counters
 	dialer      net.Dialer
@@ -61,8 +62,8 @@
 	id        table.LinkID
 	rpc       *jsonrpc2.Conn
 	raw       net.Conn
-	dialed    bool
-	counted   *crossdomain.Conn
+	dialed    bool              // this daemon opened the connection
+	counted   *crossdomain.Conn // raw, with its bytes counted
 	queue     chan wire.Message
 	done      chan struct{}
 	closeOnce sync.Once
@@ -72,8 +73,13 @@
 // connections use source as their local address, or any address if source is nil.
 func New(domain string, sink Sink, clock *event.Clock, source net.Addr, r metrics.Registry) *Transport {
 	return &Transport{
-		sink: sink, clock: clock, metrics: r, domain: domain, crossDomain: crossdomain.NewCounters(r), conns: map[table.LinkID]*conn{},
-		dialer: net.Dialer{Timeout: dialTimeout, LocalAddr: source},
+		sink:        sink,
+		clock:       clock,
+		metrics:     r,
+		domain:      domain,
+		crossDomain: crossdomain.NewCounters(r),
+		conns:       map[table.LinkID]*conn{},
+		dialer:      net.Dialer{Timeout: dialTimeout, LocalAddr: source},
 	}
 }
 
@@ -224,8 +230,8 @@
 	return metrics.GetOrRegisterCounter(name, t.metrics)
 }
 
-// setPurpose sets the purpose of the bytes of a connection that this daemon dialed, once its peer
-// has named its failure domain.
+// setPurpose sets the purpose of the bytes of a connection that this daemon dialed, given the
+// peer's hello, which has its failure domain.
 func (t *Transport) setPurpose(c *conn, h wire.Hello) {
 	switch {
 	case !c.dialed:
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -54,9 +54,9 @@
 const (
 	// windowSeconds is the time in seconds over which refusals are counted.
 	windowSeconds = 10
-	// maxGap is the longest time without a refusal or a long wait in which a resource still
-	// counts as scarce without interruption. Callers over a limit are told to return within
-	// 3 s, so that a shorter gap does not show that there is room.
+	// maxGap is the longest time without a refusal or a long wait that does not interrupt
+	// scarcity. Callers over a limit are told to return within 3 s, so that a shorter gap
+	// does not show that there is room.
 	maxGap = 3 * time.Second
 	// waitMaxAge is how long a reported wait is valid, as long as the load that it is from.
 	waitMaxAge = time.Second
@@ -81,10 +81,10 @@
 
 // entry is the state of one key.
 type entry struct {
-	// since is when the resource became scarce, scarceAt when it was so last.
+	// since is when the resource became scarce, scarceAt when it was last scarce.
 	since, scarceAt time.Time
-	// refused holds the refusals of the last seconds: those of Unix second s are at index s
-	// modulo its length. newest is the latest second that is counted.
+	// refused holds the refusals of the last windowSeconds: those of Unix second s are at
+	// index s modulo windowSeconds. newest is the latest second that is counted.
 	refused [windowSeconds]urgencyCounts
 	newest  int64
 	// wait is the longest wait reported since waitAt.
@@ -168,6 +168,7 @@
 	return len(t.entries) < maxEntries
 }
 
+// expire removes the entries that have not been scarce for windowSeconds.
 func (t *Table) expire(now time.Time) {
 	for k, e := range t.entries {
 		if now.Sub(e.scarceAt) >= windowSeconds*time.Second {
@@ -176,6 +177,7 @@
 	}
 }
 
+// index returns the index of a Unix second in entry.refused.
 func index(second int64) int { return int(second % windowSeconds) }
 
 // advance clears the counts of the seconds that have left the window.
@@ -221,6 +223,7 @@
 	return rows
 }
 
+// row returns the row of the entry, which has the key k.
 func (e *entry) row(k Key, now time.Time) Row {
 	e.advance(now.Unix())
 	r := Row{Key: k, Since: e.since}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -23,7 +23,7 @@
 	updatedAt time.Duration
 }
 
-// low is the lowest balance of a slot.
+// low is the lowest balance of a slot, which is identified by its start.
 type low struct {
 	slot    time.Duration
 	balance float64
@@ -48,7 +48,7 @@
 	b.lows = append(b.lows[:0], low{b.slot(now), 0})
 }
 
-// setCapacity changes the capacity. Tokens beyond it are lost; there are no others.
+// setCapacity changes the capacity. Tokens beyond it are lost; a higher one adds none.
 func (b *tokenBucket) setCapacity(now time.Duration, capacity float64) {
 	tokens := min(b.tokens(), capacity)
 	b.capacity = capacity
@@ -59,7 +59,7 @@
 // were counted than it could admit.
 func (b *tokenBucket) tokens() float64 { return b.level }
 
-// full reports whether the bucket equals a new, full one.
+// full reports whether the bucket has all its tokens and no call of the window counts.
 func (b *tokenBucket) full() bool { return b.tokens() >= b.capacity }
 
 // refill adds the tokens for the time since the last call, at a rate per second.
@@ -86,11 +86,13 @@
 	b.raise(-calls)
 }
 
-// raise adds tokens, up to what the calls of the window leave of the capacity.
+// raise adds tokens, up to what the calls of the window leave of the capacity. A negative
+// number takes tokens.
 func (b *tokenBucket) raise(tokens float64) {
 	b.level = min(b.level+tokens, b.capacity-(b.balance-b.lows[0].balance))
 }
 
+// slot returns the start of the slot of the window that contains a time.
 func (b *tokenBucket) slot(now time.Duration) time.Duration {
 	if b.window == 0 {
 		return 0
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -94,8 +94,8 @@
 	// the tokens that are left when returning calls are granted: the interval of reports
 	// and the time that a report and its reply take.
 	returningReserveSeconds = 0.15
-	// minReturningReserve is the least number of those tokens: the few calls of a small
-	// workspace come in clusters.
+	// minReturningReserve is the least number of tokens that are left for first-time calls:
+	// the few calls of a small workspace come in clusters.
 	minReturningReserve = 2
 	// minDenied is the number of calls denied per second from which the calls of a workspace
 	// need grants until the reserve for first-time calls is restored.
@@ -299,7 +299,8 @@
 func (c *Coordinator) grantThreshold(name string, b *bucket, now time.Duration) float64 {
 	threshold := reserveSeconds * c.rate(name, b, now)
 	if c.firstTimeFirst && b.denied >= minDenied {
-		// Calls that need no grant are not told apart by kind.
+		// Calls that need no grant are admitted whatever their kind, and would use up the
+		// reserve.
 		threshold = max(threshold, 1+b.returningReserve())
 	}
 	return max(1, min(threshold, c.capacity(name)/2))
@@ -309,8 +310,8 @@
 func (c *Coordinator) retryAfter(b *bucket, name string, now time.Duration) time.Duration {
 	missing, rate := 1-b.tokens()+b.denied, c.rate(name, b, now)
 	if c.firstTimeFirst {
-		// The call will be a returning one: what first-time calls take does not fill the
-		// bucket for it.
+		// The call will be a returning one, which gets only the tokens that first-time
+		// calls leave.
 		missing += b.returningReserve()
 		rate -= b.firstTimeDemand()
 	}
--- a/internal/quota/locallimiter.go
+++ b/internal/quota/locallimiter.go
@@ -104,7 +104,13 @@
 // NewLocalLimiter returns the limiter of a daemon that has had no reply from a coordinator
 // yet.
 func NewLocalLimiter() *LocalLimiter {
-	return &LocalLimiter{used: map[string]int{}, unacked: map[string]int{}, fallback: map[string]*fallbackBucket{}, rates: map[string]*rateAverage{}, deniedUntil: map[deniedCalls]time.Duration{}}
+	return &LocalLimiter{
+		used:        map[string]int{},
+		unacked:     map[string]int{},
+		fallback:    map[string]*fallbackBucket{},
+		rates:       map[string]*rateAverage{},
+		deniedUntil: map[deniedCalls]time.Duration{},
+	}
 }
 
 // Admit decides on a call. daemons is the number of daemons in the fleet: a daemon
@@ -130,8 +136,8 @@
 	return Admitted, 0
 }
 
-// recentlyDenied reports whether a call is denied without a request. A returning call is, too,
-// if first-time calls get no grant.
+// recentlyDenied reports whether a call is denied without a request: calls of its kind have
+// just got no grant, or first-time calls have, which go before returning ones.
 func (l *LocalLimiter) recentlyDenied(now time.Duration, workspace string, kind Kind) bool {
 	return now < l.deniedUntil[deniedCalls{workspace, FirstTime}] ||
 		kind == Returning && now < l.deniedUntil[deniedCalls{workspace, Returning}]
