--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -11,7 +11,13 @@
 func (g *Gate) Load() outcome.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return outcome.Load{InFlight: g.inFlight, Queued: len(g.queue), Slots: g.usableSlots(), Service: g.serviceTime(), Pace: g.pace.current(g.now())}
+	return outcome.Load{
+		InFlight: g.inFlight,
+		Queued:   len(g.queue),
+		Slots:    g.usableSlots(),
+		Service:  g.serviceTime(),
+		Pace:     g.pace.current(g.now()),
+	}
 }
 
 // usableSlots returns how many slots can be busy on average: no more than the rate limit
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -135,9 +135,15 @@
 	}
 	now := time.Now()
 	a := &Agent{
-		settings: s, log: opts.Log, logger: opts.Logger, source: opts.Source, statusPublisher: opts.StatusPublisher, metrics: metrics.NewRegistry(),
-		clock: event.NewClock(time.Now), listeners: ls,
-		inputs: make(chan system.Input, inputQueueSize),
+		settings:        s,
+		log:             opts.Log,
+		logger:          opts.Logger,
+		source:          opts.Source,
+		statusPublisher: opts.StatusPublisher,
+		metrics:         metrics.NewRegistry(),
+		clock:           event.NewClock(time.Now),
+		listeners:       ls,
+		inputs:          make(chan system.Input, inputQueueSize),
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.events = event.NewRing(s.VM, a.clock, s.MaxEvents)
@@ -155,19 +161,48 @@
 	registerPressure(a.metrics, a.pressure)
 	m := callpath.NewMetrics(a.metrics)
 	limiter := limits.New(limits.Config{
-		Domain: s.FailureDomain, Tolerance: s.Bounds.Tolerance(), Metrics: a.metrics, Logger: opts.Logger,
-		Dialer: &net.Dialer{Timeout: time.Duration(s.Calls.ConnectTimeout), LocalAddr: s.Listen.SourceAddr()},
+		Domain:    s.FailureDomain,
+		Tolerance: s.Bounds.Tolerance(),
+		Metrics:   a.metrics,
+		Logger:    opts.Logger,
+		Dialer:    &net.Dialer{Timeout: time.Duration(s.Calls.ConnectTimeout), LocalAddr: s.Listen.SourceAddr()},
 	})
 	a.owner = callpath.NewOwner(callpath.OwnerConfig{
-		Incarnation: a.world.Self.Incarnation, QueueFactor: s.Calls.QueueFactor,
-		ConnectTimeout: time.Duration(s.Calls.ConnectTimeout), IdleTimeout: time.Duration(s.Calls.UpstreamIdle),
-		LinkMbps: s.Calls.LinkMbps, Suspects: a.suspects, LimitCoordinator: limiter, OnDraining: a.upstreamDraining, Events: a.events, Metrics: m, Dialect: opts.Dialect, Logger: opts.Logger, Now: time.Now,
+		Incarnation:      a.world.Self.Incarnation,
+		QueueFactor:      s.Calls.QueueFactor,
+		ConnectTimeout:   time.Duration(s.Calls.ConnectTimeout),
+		IdleTimeout:      time.Duration(s.Calls.UpstreamIdle),
+		LinkMbps:         s.Calls.LinkMbps,
+		Suspects:         a.suspects,
+		LimitCoordinator: limiter,
+		OnDraining:       a.upstreamDraining,
+		Events:           a.events,
+		Metrics:          m,
+		Dialect:          opts.Dialect,
+		Logger:           opts.Logger,
+		Now:              time.Now,
 	})
 	a.ingress = callpath.NewIngress(callpath.IngressConfig{
-		VM: s.VM, Domain: s.FailureDomain, Caller: s.Platform.Service, MaxBody: s.Calls.MaxBody,
-		ConnectTimeout: time.Duration(s.Calls.ConnectTimeout), Source: s.Listen.SourceAddr(), InquireAfter: time.Duration(s.Calls.InquireAfter),
-		Limits: limiter, MaxConfigAge: time.Duration(s.Bounds.Revoke), RetryRatio: s.Calls.RetryRatio, RetryBurst: s.Calls.RetryBurst, CrossDomainCost: s.Calls.CrossDomainCost,
-		Suspects: a.suspects, Pressure: a.pressure, Events: a.events, Metrics: m, Logger: opts.Logger, Dialect: opts.Dialect, Now: time.Now, Seed: seed,
+		VM:              s.VM,
+		Domain:          s.FailureDomain,
+		Caller:          s.Platform.Service,
+		MaxBody:         s.Calls.MaxBody,
+		ConnectTimeout:  time.Duration(s.Calls.ConnectTimeout),
+		Source:          s.Listen.SourceAddr(),
+		InquireAfter:    time.Duration(s.Calls.InquireAfter),
+		Limits:          limiter,
+		MaxConfigAge:    time.Duration(s.Bounds.Revoke),
+		RetryRatio:      s.Calls.RetryRatio,
+		RetryBurst:      s.Calls.RetryBurst,
+		CrossDomainCost: s.Calls.CrossDomainCost,
+		Suspects:        a.suspects,
+		Pressure:        a.pressure,
+		Events:          a.events,
+		Metrics:         m,
+		Logger:          opts.Logger,
+		Dialect:         opts.Dialect,
+		Now:             time.Now,
+		Seed:            seed,
 	}, a.owner)
 	return a, nil
 }
--- a/internal/callpath/fleet_pace_test.go
+++ b/internal/callpath/fleet_pace_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// Pattern of the customer with uneven upstreams: the times that work takes at them relative to the
-// usual, and the part of the time in which it takes paceSlowFactor times as long, in spans of
+// A deployment with uneven upstreams: the times that work takes at them relative to the usual, and
+// the fraction of the time in which it takes paceSlowFactor times as long, in spans of
 // paceSlowSpan.
 const (
 	paceSlowShare  = 0.15
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -252,7 +252,7 @@
 	if in.refusing.Load() && !c.attempt.Nested {
 		return outcome.Refuse(outcome.ReasonDraining, restartRetryAfter)
 	}
-	allowed, refusal := in.cfg.Limits.Admit(ctx, v, c.attempt.Workspace, c.waited > returningWait)
+	allowed, refusal := in.cfg.Limits.Admit(ctx, v, c.attempt.Workspace, c.returning())
 	if !allowed {
 		return refusal
 	}
--- a/internal/callpath/log.go
+++ b/internal/callpath/log.go
@@ -68,7 +68,7 @@
 		e = e.Str("workspace", c.attempt.Workspace)
 	}
 	if limit, ok := limits.LimitOf(in.view.Load(), c.attempt.Workspace); ok && r.Reason == outcome.ReasonOverLimit {
-		e = e.Float64("limit_rate", limit.Rate).Float64("limit_burst", limit.Burst).Bool("returning", c.waited > returningWait)
+		e = e.Float64("limit_rate", limit.Rate).Float64("limit_burst", limit.Burst).Bool("returning", c.returning())
 	}
 	if c.service != nil {
 		e = e.Str("service", c.service.Name).Int("upstreams", len(c.service.Upstreams))
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -112,15 +112,21 @@
 	return r
 }
 
+// withLoad returns the result with the load of the upstream and of the link.
 func (o *Owner) withLoad(r outcome.Result, loc *localUpstream) outcome.Result {
-	r.Load = loc.gate.Load()
-	r.Load.Intake = o.intake.wait()
-	r.Load.Egress = o.egress.Wait(r.Load.Service)
+	r.Load = o.withLinkWaits(loc.gate.Load())
 	r.HasLoad = true
 	r.RateLimit = loc.gate.Rate()
 	return r
 }
 
+// withLinkWaits returns the load of an upstream with the waits for the link of this VM.
+func (o *Owner) withLinkWaits(l outcome.Load) outcome.Load {
+	l.Intake = o.intake.wait()
+	l.Egress = o.egress.Wait(l.Service)
+	return l
+}
+
 // run sends the attempt to the upstream and records how the run ended.
 func (o *Owner) run(ctx context.Context, loc *localUpstream, a *Attempt) outcome.Result {
 	began := o.cfg.Now()
@@ -147,11 +153,15 @@
 		res.Body.Close()
 		return o.withLoad(o.refuseAdmitted(loc, a, r), loc)
 	}
-	body := &answerBody{ReadCloser: res.Body, onReadEnd: func(err error) { o.bodyReadEnded(ctx, loc, a, res.StatusCode, err) }, onClose: func() {
-		loc.attempts.remove(a)
-		loc.gate.Release(o.cfg.Now().Sub(began))
-		o.ledger.finish(a.ID)
-	}}
+	body := &answerBody{
+		ReadCloser: res.Body,
+		onReadEnd:  func(err error) { o.bodyReadEnded(ctx, loc, a, res.StatusCode, err) },
+		onClose: func() {
+			loc.attempts.remove(a)
+			loc.gate.Release(o.cfg.Now().Sub(began))
+			o.ledger.finish(a.ID)
+		},
+	}
 	if o.cfg.Dialect.ReportedRequests != nil {
 		if n, ok := o.cfg.Dialect.ReportedRequests(res.Header); ok {
 			loc.gate.RecordRunning(n)
@@ -160,10 +170,17 @@
 	o.observePace(loc, res.Header)
 	o.cfg.Metrics.Started.Inc(1)
 	took := o.cfg.Now().Sub(began)
-	load := loc.gate.LoadAfter(took)
-	load.Intake = o.intake.wait()
-	load.Egress = o.egress.Wait(load.Service)
-	return outcome.Result{Outcome: outcome.Answered, Status: res.StatusCode, Header: res.Header, Body: body, Load: load, HasLoad: true, RateLimit: loc.gate.Rate(), Draining: draining, Took: took}
+	return outcome.Result{
+		Outcome:   outcome.Answered,
+		Status:    res.StatusCode,
+		Header:    res.Header,
+		Body:      body,
+		Load:      o.withLinkWaits(loc.gate.LoadAfter(took)),
+		HasLoad:   true,
+		RateLimit: loc.gate.Rate(),
+		Draining:  draining,
+		Took:      took,
+	}
 }
 
 // failed returns the result of a request that got no response. The request is known not
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -103,6 +103,9 @@
 // retry-after of a call over its limit.
 const returningWait = 50 * time.Millisecond
 
+// returning reports whether the caller has probably waited already, mostly after a refusal.
+func (c *call) returning() bool { return c.waited > returningWait }
+
 // callerWait returns how long a caller has probably waited already. It is zero for nested
 // calls, whose timeout is the time that their parent has left.
 func (in *Ingress) callerWait(c *call, loadControl bool, r *http.Request) time.Duration {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -275,7 +275,8 @@
 	reply, err := l.sendReport(ctx, v.LimitCoordinators[l.domain], r)
 	if err != nil {
 		l.failedRequests.Inc(1)
-		l.logger.Debug().Str("step", "report to keeper").Str("peer", v.LimitCoordinators[l.domain].Daemon).Err(err).Msg("limit coordinator did not answer; refusing the waiting calls and reporting the counts again")
+		l.logger.Debug().Str("step", "report to limit coordinator").Str("peer", v.LimitCoordinators[l.domain].Daemon).Err(err).
+			Msg("limit coordinator did not answer; refusing the waiting calls and reporting the counts again")
 		l.localLimiter.Restore(r)
 		l.resolveWaiters(waiting, quota.Reply{})
 		return
@@ -325,7 +326,8 @@
 			requestedAt := boottime.Now()
 			var leasedRates map[string]float64
 			if err := l.post(crossdomain.WithPurpose(ctx, crossdomain.Limits), other, PathLeases, request, &leasedRates); err != nil {
-				l.logger.Debug().Str("step", "borrow").Str("peer", other.Daemon).Err(err).Msg("limit coordinator did not answer the lease request; skipping it")
+				l.logger.Debug().Str("step", "request leases").Str("peer", other.Daemon).Err(err).
+					Msg("limit coordinator did not answer the lease request; skipping it")
 				continue
 			}
 			l.coordinator.AddLeases(boottime.Now(), requestedAt, domain, leasedRates)
@@ -363,7 +365,7 @@
 // domain.
 func (l *Limiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !l.isCoordinator() {
-		http.Error(w, "not the keeper", http.StatusConflict)
+		http.Error(w, "not the limit coordinator", http.StatusConflict)
 		return
 	}
 	body := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -203,7 +203,7 @@
 	// 0, no limit.
 	LinkMbps float64 `yaml:"link_mbps"`
 	// LoadControl says when load control is in force: auto, on or off. It covers nested
-	// calls, limits, and the speed of upstreams under load. Default: auto, which is where the
+	// calls, workspaces' limits and the pace of upstreams. Default: auto, which is where the
 	// configuration has a workspace with a limit or a policy with large answers.
 	LoadControl config.LoadControl `yaml:"load_control"`
 	// Drain is how long callers take to notice that a daemon is stopping. A stopping
@@ -303,7 +303,8 @@
 		UpstreamLapse: time.Duration(c.UpstreamLapse), Grace: time.Duration(c.Grace),
 		MaxLinks: c.MaxLinks, SnapshotsPerSecond: c.SnapshotsPerSecond,
 		Probe: time.Duration(c.Probe), Checkpoint: time.Duration(s.Log.Retention) / checkpointsPerRetention,
-		Seeds: c.Peers, Domains: len(s.FailureDomains), InForce: time.Duration(s.Bounds.InForce), Revoke: time.Duration(s.Bounds.Revoke), Exposure: s.Bounds.Exposure,
+		Seeds: c.Peers, Domains: len(s.FailureDomains),
+		InForce: time.Duration(s.Bounds.InForce), Revoke: time.Duration(s.Bounds.Revoke), Exposure: s.Bounds.Exposure,
 		LoadControl: s.Calls.LoadControl,
 	}
 }
