--- a/internal/admin/pressure.go
+++ b/internal/admin/pressure.go
@@ -35,6 +35,7 @@
 	return strings.Join(parts, ", ")
 }
 
+// formatWait formats a wait in milliseconds, or returns a dash for none.
 func formatWait(d time.Duration) string {
 	if d == 0 {
 		return "-"
--- a/internal/config/largeanswers.go
+++ b/internal/config/largeanswers.go
@@ -10,6 +10,7 @@
 	return s.Base == old.Base && s.Position == old.Position && s.Hash == old.Hash && s.largeAnswers > old.largeAnswers
 }
 
+// countLargeAnswers returns the number of policies with large answers.
 func (c Content) countLargeAnswers() int {
 	n := 0
 	for _, p := range c.Policies {
--- a/internal/config/loadcontrol.go
+++ b/internal/config/loadcontrol.go
@@ -1,7 +1,7 @@
 package config
 
-// LoadControl says when load control is in force: the decisions under load that go beyond
-// the slots of single upstreams.
+// LoadControl says when load control is in force, which is the name of the decisions under
+// load that consider more than the slots of one upstream.
 type LoadControl string
 
 // The settings of load control.
@@ -9,8 +9,10 @@
 	// LoadControlAuto: where the configuration has a workspace with a limit or a policy
 	// with large answers, whose callers compete for more than slots.
 	LoadControlAuto LoadControl = "auto"
-	LoadControlOn   LoadControl = "on"
-	LoadControlOff  LoadControl = "off"
+	// LoadControlOn: always.
+	LoadControlOn LoadControl = "on"
+	// LoadControlOff: never.
+	LoadControlOff LoadControl = "off"
 )
 
 // Valid reports whether l is one of the settings.
--- a/internal/egress/admit.go
+++ b/internal/egress/admit.go
@@ -18,8 +18,8 @@
 	// Service is the time that the upstream is expected to take, including the wait for a
 	// slot.
 	Service time.Duration
-	// Deadline is the time after which nobody waits for the response; Objective is the time
-	// by which it should have arrived, or zero if only the deadline matters.
+	// Deadline is the time after which the response is useless; Objective is the time by
+	// which it should have arrived, or zero if only the deadline matters.
 	Deadline  time.Time
 	Objective time.Time
 }
--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -15,8 +15,8 @@
 // upstreamCost is the cost of picking an upstream, apart from the path to it, as a
 // fraction of a call's worth. The time at the upstream costs almost nothing while it is
 // far below the objective, half of the worth if the expected time equals the objective,
-// and all of it far beyond. With a linear cost, calls were sent across failure domains to
-// save milliseconds that nobody notices, which doubled the bytes sent between domains.
+// and all of it far beyond. With a linear cost, calls would be sent across failure domains
+// to save times that are small beside the objective.
 func (p *Picker) upstreamCost(u *view.Upstream, c Criteria, means serviceMeans, now time.Time) float64 {
 	expected := float64(c.TypicalLatency)*p.slowness(u, means, now) + float64(p.bodyWait(u, c, now)+p.answerWait(u, c, now))
 	objectiveFraction := expected / float64(max(c.Objective, time.Millisecond))
