--- a/internal/admission/nestedfirst.go
+++ b/internal/admission/nestedfirst.go
@@ -69,7 +69,7 @@
 }
 
 // directInterval returns how long after the last direct call a waiting one goes before nested
-// calls.
+// calls. It is zero if the objective of w had passed when it arrived.
 func (g *Gate) directInterval(w *Waiter) time.Duration {
 	return time.Duration(max(0, float64(w.allowed)) / (directShare * float64(max(1, g.limit()))))
 }
