Parts of load control can be switched off one by one

Cause: calls.load_control switches all parts off together, so that an operator could not tell which part a behaviour comes from, nor could its worth be measured. Change: setting calls.load_control_off, a list of parts; unknown names are refused with line and reason. The default, none, changes nothing.

--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/freshness"
 	"github.com/comfreygate/comfreygate/internal/limits"
@@ -154,7 +155,7 @@
 // Update applies a view to the calls that arrive from now on.
 func (in *Ingress) Update(v *view.View) {
 	in.view.Store(v)
-	in.picker.SetContention(v.LoadControl)
+	in.picker.SetContention(v.Controls(config.CrossDomainCost))
 	in.cfg.Limits.Update(in.backgroundCtx, v)
 }
 
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -149,7 +149,7 @@
 // load control is in force, gates admit nested calls before all direct ones, so that a
 // refused direct call is no reason to expect that a nested one is refused.
 func (in *Ingress) rankUrgency(a *Attempt) config.Urgency {
-	if a.Nested && in.view.Load().LoadControl {
+	if a.Nested && in.view.Load().Controls(config.NestedFirst) {
 		return config.MostUrgent
 	}
 	return a.Urgency
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/admission"
 	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/egress"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
@@ -170,7 +171,7 @@
 		ramp = s.Ramp
 	}
 	loc.gate.Resize(l.Slots, ramp)
-	loc.gate.SetNestedFirst(v.LoadControl)
+	loc.gate.SetNestedFirst(v.Controls(config.NestedFirst))
 	if l.Draining || v.Leaving || loc.draining {
 		loc.gate.Close(outcome.ReasonDraining)
 	} else {
--- a/internal/callpath/ownerruns.go
+++ b/internal/callpath/ownerruns.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/runs"
 )
@@ -10,7 +11,7 @@
 // admitRun decides whether an attempt may start a run: while nested calls of the route's runs
 // are refused, only a fraction may. False: it is refused with the returned result.
 func (o *Owner) admitRun(loc *localUpstream, a *Attempt) (outcome.Result, bool) {
-	if a.Nested || !o.view.Load().LoadControl || !loc.runs.Active() {
+	if a.Nested || !o.view.Load().Controls(config.RunLimits) || !loc.runs.Active() {
 		return outcome.Result{}, true
 	}
 	route, ok := o.routeOf(a)
@@ -28,7 +29,7 @@
 // recordRun records whether a run starved. Nested runs do not count, since they are never
 // refused for it.
 func (o *Owner) recordRun(loc *localUpstream, a *Attempt, p *parentRequest, began time.Time, r outcome.Result) {
-	if a.Nested || r.Outcome == outcome.NotRun || !o.view.Load().LoadControl {
+	if a.Nested || r.Outcome == outcome.NotRun || !o.view.Load().Controls(config.RunLimits) {
 		return
 	}
 	starved := p.starved.Load()
@@ -56,7 +57,7 @@
 // lowestRunsPart returns the lowest admitted fraction of new runs over all routes of the
 // upstreams of this VM. It is 1 where load control is not in force.
 func (o *Owner) lowestRunsPart() float64 {
-	if !o.view.Load().LoadControl {
+	if !o.view.Load().Controls(config.RunLimits) {
 		return 1
 	}
 	o.mu.Lock()
--- a/internal/callpath/pace.go
+++ b/internal/callpath/pace.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strconv"
+
+	"github.com/comfreygate/comfreygate/internal/config"
 )
 
 // Paces outside these bounds are malformed.
@@ -15,7 +17,7 @@
 // control is in force. A response without a valid report changes nothing: the previous one
 // stays valid for its time.
 func (o *Owner) observePace(loc *localUpstream, h http.Header) {
-	if o.cfg.Dialect.Pace == nil || !o.view.Load().LoadControl {
+	if o.cfg.Dialect.Pace == nil || !o.view.Load().Controls(config.Pace) {
 		return
 	}
 	if pace, ok := o.cfg.Dialect.Pace(h); ok {
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -82,7 +82,7 @@
 	}
 	in.inheritFromParent(&c.attempt)
 	c.route = route
-	c.waited = in.callerWait(&c, v.LoadControl, r)
+	c.waited = in.callerWait(&c, v, r)
 	c.attempt.Objective = in.objective(&c, now)
 	return c, outcome.Result{}
 }
@@ -108,12 +108,12 @@
 
 // callerWait returns how long a caller has probably waited already. It is zero for nested
 // calls, whose timeout is the time that their parent has left.
-func (in *Ingress) callerWait(c *call, loadControl bool, r *http.Request) time.Duration {
+func (in *Ingress) callerWait(c *call, v *view.View, r *http.Request) time.Duration {
 	left, err := optionalMs(r.Header.Get(in.cfg.Dialect.Timeout), 0)
 	if err != nil || left == 0 || c.attempt.Nested {
 		return 0
 	}
-	if loadControl {
+	if v.Controls(config.ReturningCalls) {
 		return in.picker.EstimatedWaitBeyondSpread(c.route.Name, left)
 	}
 	return in.picker.EstimatedWait(c.route.Name, left, c.route.Policy.Timeout)
--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
@@ -199,7 +200,7 @@
 // the upstream that was expected to serve it first has no room before its deadline. It
 // reports false where load control is not in force.
 func (in *Ingress) futile(c *call, r outcome.Result) bool {
-	if r.Reason != outcome.ReasonOverload || !in.view.Load().LoadControl {
+	if r.Reason != outcome.ReasonOverload || !in.view.Load().Controls(config.FutileRetries) {
 		return false
 	}
 	return in.cfg.Now().Add(r.RetryAfter).After(c.attempt.Deadline)
@@ -216,7 +217,7 @@
 // load control is in force, nested calls have their own: owners have room for them while
 // they refuse direct calls, whose retries would use up the budget.
 func (in *Ingress) refusalKey(c *call) string {
-	if c.attempt.Nested && in.view.Load().LoadControl {
+	if c.attempt.Nested && in.view.Load().Controls(config.NestedFirst) {
 		return c.service.Name + "\x00nested"
 	}
 	return c.service.Name
--- a/internal/config/loadcontrol.go
+++ b/internal/config/loadcontrol.go
@@ -1,5 +1,7 @@
 package config
 
+import "slices"
+
 // LoadControl says when load control is in force, which is the name of the decisions under
 // load that consider more than the slots of one upstream.
 type LoadControl string
@@ -41,3 +43,29 @@
 	}
 	return c.countLargeAnswers() > 0
 }
+
+// LoadControlPart is a part of load control that can be switched off by itself.
+type LoadControlPart string
+
+// The parts of load control.
+const (
+	// NestedFirst: gates admit nested calls before direct ones.
+	NestedFirst LoadControlPart = "nested-first"
+	// RunLimits: fewer requests of a route start while nested calls of its runs are refused.
+	RunLimits LoadControlPart = "run-limits"
+	// ReturningCalls: callers that retry are told from others by the time that callers
+	// usually allow, and limits of workspaces grant first-time calls first.
+	ReturningCalls LoadControlPart = "returning-calls"
+	// Pace: waits and selection use the pace that upstreams report.
+	Pace LoadControlPart = "pace"
+	// CrossDomainCost: bytes between failure domains cost the selection more.
+	CrossDomainCost LoadControlPart = "cross-domain-cost"
+	// FutileRetries: calls that no owner can serve before their deadline are not retried.
+	FutileRetries LoadControlPart = "futile-retries"
+)
+
+// LoadControlParts are all parts of load control.
+var LoadControlParts = []LoadControlPart{NestedFirst, RunLimits, ReturningCalls, Pace, CrossDomainCost, FutileRetries}
+
+// Valid reports whether p is one of the parts.
+func (p LoadControlPart) Valid() bool { return slices.Contains(LoadControlParts, p) }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/quota"
@@ -134,7 +135,7 @@
 	}
 	limits := v.Routes.CallLimits()
 	l.coordinator.Set(limits, max(v.Domains, len(v.LimitCoordinators)))
-	l.coordinator.SetFirstTimeFirst(v.LoadControl)
+	l.coordinator.SetFirstTimeFirst(v.Controls(config.ReturningCalls))
 	if len(limits) > 0 {
 		l.startReporting.Do(func() { go l.run(ctx) })
 	}
@@ -161,7 +162,7 @@
 		return true, outcome.Result{}
 	}
 	key := waiterKey{workspace, quota.FirstTime}
-	if returning && v.LoadControl {
+	if returning && v.Controls(config.ReturningCalls) {
 		key.kind = quota.Returning
 	}
 	verdict, retryAfter := l.localLimiter.Admit(boottime.Now(), workspace, key.kind, limit, v.Daemons)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,9 +1,13 @@
 package settings
 
 import (
+	"fmt"
 	"net"
 	"regexp"
+	"slices"
 	"time"
+
+	"github.com/comfreygate/comfreygate/internal/config"
 )
 
 // invalidSetting is a setting whose value is not allowed.
@@ -171,6 +175,8 @@
 		return &invalidSetting{"calls.link_mbps", "must be between 0 and 1000000"}
 	case !s.Calls.LoadControl.Valid():
 		return &invalidSetting{"calls.load_control", "must be auto, on or off"}
+	case slices.ContainsFunc(s.Calls.LoadControlOff, func(p config.LoadControlPart) bool { return !p.Valid() }):
+		return &invalidSetting{"calls.load_control_off", fmt.Sprintf("must be a list of parts of load control: %s", config.LoadControlParts)}
 	case s.GCPercent < 10 || s.GCPercent > 10_000:
 		return &invalidSetting{"gc_percent", "must be between 10 and 10000"}
 	case s.MaxEvents < 16:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -206,6 +206,9 @@
 	// calls, workspaces' limits and the pace of upstreams. Default: auto, which is where the
 	// configuration has a workspace with a limit or a policy with large answers.
 	LoadControl config.LoadControl `yaml:"load_control"`
+	// LoadControlOff lists the parts of load control that are not in force: nested-first,
+	// run-limits, returning-calls, pace, cross-domain-cost, futile-retries. Default: none.
+	LoadControlOff []config.LoadControlPart `yaml:"load_control_off"`
 	// Drain is how long callers take to notice that a daemon is stopping. A stopping
 	// daemon keeps accepting calls for this long, but no longer than 0.4 of bounds.stop.
 	// Default: 2500ms, which is two readiness checks one second apart, and half a second
@@ -305,6 +308,6 @@
 		Probe: time.Duration(c.Probe), Checkpoint: time.Duration(s.Log.Retention) / checkpointsPerRetention,
 		Seeds: c.Peers, Domains: len(s.FailureDomains),
 		InForce: time.Duration(s.Bounds.InForce), Revoke: time.Duration(s.Bounds.Revoke), Exposure: s.Bounds.Exposure,
-		LoadControl: s.Calls.LoadControl,
+		LoadControl: s.Calls.LoadControl, LoadControlOff: s.Calls.LoadControlOff,
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -42,6 +42,7 @@
 		{"negative bound", minimal + "bounds:\n  in_force: -3000ms\n", []string{"line 5: bounds.in_force: must be at least 1s"}},
 		{"bound without a unit", minimal + "bounds:\n  in_force: 3000\n", []string{"line 5: bounds.in_force", "150ms"}},
 		{"unknown bound", minimal + "bounds:\n  contact: 3s\n", []string{"contact", "5"}},
+		{"unknown part of load control", minimal + "calls:\n  load_control_off: [pace, haste]\n", []string{"line 5: calls.load_control_off", "nested-first"}},
 		{"negative drain", minimal + "calls:\n  drain: -1s\n", []string{"line 5: calls.drain"}},
 		{"wrong type", minimal + "events: many\n", []string{"events", "4"}},
 		{"not YAML", "vm: [", []string{"vm"}},
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -61,6 +61,8 @@
 	Domains int
 	// LoadControl says when load control is in force.
 	LoadControl config.LoadControl
+	// LoadControlOff are the parts of load control that are never in force.
+	LoadControlOff []config.LoadControlPart
 	// Seeds are the addresses of daemons through which the others are found.
 	Seeds []string
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -70,6 +70,8 @@
 	LimitCoordinators map[string]LimitCoordinator
 	// LoadControl is set if load control is in force.
 	LoadControl bool
+	// LoadControlOff are the parts of load control that are not in force even then.
+	LoadControlOff []config.LoadControlPart
 	// Domains is the least number of failure domains of the deployment.
 	Domains int
 	// Daemons is the number of known daemons, including those whose records have lapsed.
@@ -100,6 +102,7 @@
 	}
 	v.Routes = routes.forState(state)
 	v.LoadControl = w.Params.LoadControl.InForce(state.Content)
+	v.LoadControlOff = w.Params.LoadControlOff
 	v.Daemons, v.Domains = len(w.Members)+1, w.Params.Domains
 	for domain, m := range w.LimitCoordinators {
 		v.LimitCoordinators[domain] = LimitCoordinator{Daemon: m.ID, Owner: m.Owner, Local: m.ID == w.Self.ID}
@@ -115,6 +118,11 @@
 	return v
 }
 
+// Controls reports whether a part of load control is in force.
+func (v *View) Controls(p config.LoadControlPart) bool {
+	return v.LoadControl && !slices.Contains(v.LoadControlOff, p)
+}
+
 // addMember adds the upstreams of a daemon that accept calls.
 func (v *View) addMember(m wire.Member, local bool) {
 	if m.Leaving || m.Owner == "" {
