Test of the bytes between failure domains in a start

A simultaneous start of 30, 90 and 180 daemons in three failure domains, and a restart of 0.6 of them, in virtual time. The messages between failure domains have at most 20 KB per daemon, and all daemons know the current record of each daemon at the latest 2 s after the start.

--- a/internal/system/start_test.go
+++ b/internal/system/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,7 +68,8 @@
 		s.appends = append(s.appends, addressAppend{s.lastAppendDone, node})
 	}
 	for len(s.appends) > 0 && !s.appends[0].at.After(n.now) {
-		s.published = append(s.published, s.appends[0].node.id)
+		id := s.appends[0].node.id
+		s.published = append(slices.DeleteFunc(s.published, func(listed string) bool { return listed == id }), id)
 		s.appends = s.appends[1:]
 	}
 	if out.ReadLog && !n.now.Before(c.nextRead) {
@@ -77,7 +79,7 @@
 	}
 	if out.FindSeeds {
 		c.finds++
-		node.inputs = append(node.inputs, SelfListed{Others: len(s.published)})
+		node.inputs = append(node.inputs, SelfListed{Listed: slices.Contains(s.published, node.id), Others: len(s.published)})
 		if k := len(s.published); k > 0 {
 			node.inputs = append(node.inputs, SeedsFound{Addrs: s.published[max(0, k-64):]})
 		}
--- a/internal/system/testnet_test.go
+++ b/internal/system/testnet_test.go
@@ -68,6 +68,8 @@
 	// sentBytes, if set, counts the bytes of the messages on suspects and rollouts that
 	// each daemon sent, by daemon ID.
 	sentBytes map[string]int
+	// crossDomain, if set, counts the messages on connections between failure domains, by method.
+	crossDomain map[string]messageCost
 }
 
 type testNode struct {
@@ -293,7 +295,9 @@
 			n.sentBytes[node.id] += len(b)
 		}
 	}
-	switch p := n.pipeByLink[s.Link]; {
+	p := n.pipeByLink[s.Link]
+	n.countCrossDomain(p, s.Message)
+	switch {
 	case p == nil || p.closed:
 	case p.a == node && p.linkA == s.Link:
 		p.queue = append(p.queue, delivery{n.arrivalTime(p), p.b, p.linkB, s.Message})
