Changes of members cross failure domains by roots only

Cause: a starting daemon dials three random seeds, most of them in other failure domains, and forwarded every change on every connection for the 5 s until it closed them. Each change thus crossed between domains once per daemon.

Change: on a connection to another domain, only a root forwards changes of members, or a daemon that has no connection in its own domain.

--- a/internal/system/gossip.go
+++ b/internal/system/gossip.go
@@ -81,7 +81,7 @@
 // roots of the other domain send the change to the remaining domains themselves. The roots
 // form a full mesh, in which each root would otherwise receive every change from all others.
 func forwardsTo(w *table.World, from table.LinkID, to *table.Link) bool {
-	if from == to.ID {
+	if from == to.ID || !exchangesWith(w, to) {
 		return false
 	}
 	src := w.Links[from]
@@ -90,3 +90,22 @@
 	}
 	return src.Domain == w.Self.Domain || to.Domain == w.Self.Domain
 }
+
+// exchangesWith reports whether this daemon forwards changes of members on the connection. Between
+// failure domains only the roots forward them, and daemons that have no connection in their own
+// domain. While many daemons start, most have connections to other domains for some seconds. If
+// all of them forwarded, each change would cross between domains once for every daemon.
+func exchangesWith(w *table.World, l *table.Link) bool {
+	return l.Domain == w.Self.Domain || w.MembersTree.Root || !connectedInDomain(w)
+}
+
+// connectedInDomain reports whether this daemon has a connection, other than a probe, to a peer
+// of its own failure domain.
+func connectedInDomain(w *table.World) bool {
+	for _, l := range w.Links {
+		if l.Up() && !l.Probe && l.Domain == w.Self.Domain {
+			return true
+		}
+	}
+	return false
+}
