Daemons other than roots pull nothing from other failure domains

Cause: each ping shows the configuration and the digest of the members that the peer holds. While a fleet starts, every daemon differs from its peers in other domains, and requested the difference from each.

Change: a daemon requests members and the configuration from a peer of another domain only if it is a root, or has no connection in its own domain.

--- a/internal/system/gossip.go
+++ b/internal/system/gossip.go
@@ -91,10 +91,11 @@
 	return src.Domain == w.Self.Domain || to.Domain == w.Self.Domain
 }
 
-// exchangesWith reports whether this daemon forwards changes of members on the connection. Between
-// failure domains only the roots forward them, and daemons that have no connection in their own
-// domain. While many daemons start, most have connections to other domains for some seconds. If
-// all of them forwarded, each change would cross between domains once for every daemon.
+// exchangesWith reports whether this daemon forwards changes of members on the connection, and
+// requests what it lacks there. Between failure domains only the roots do so, and daemons that have
+// no connection in their own domain. While many daemons start, most have connections to other
+// domains for some seconds. If all of them used these, each record would cross between domains once
+// for every daemon.
 func exchangesWith(w *table.World, l *table.Link) bool {
 	return l.Domain == w.Self.Domain || w.MembersTree.Root || !connectedInDomain(w)
 }
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -127,6 +127,9 @@
 	l.Hash = p.Hash
 	l.Members = p.Members
 	compareHash(w, l, out)
+	if !exchangesWith(w, l) {
+		return
+	}
 	pullConfig(w, now, l, out)
 	pullLargeAnswers(w, now, l, p, out)
 	if all, each := w.MemberDigests(); all != p.Members && !now.Before(l.MembersPulled.Add(memberPullInterval(w, now))) {
