Starting daemons dial seeds of their own failure domain first

Cause: a starting daemon dialed three random addresses from the log. With three failure domains, two of three were in other domains, and all that the daemon learned and told until it was connected in its own domain crossed between domains.

Change: the record by which a daemon publishes its address has its failure domain (field "domain"; records without it are of an unknown domain). A daemon without connections dials two seeds of its own domain, and others while these are refused.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -252,10 +252,12 @@
 // memberRecord is a record of the members topic: the address at which a daemon accepts peers.
 type memberRecord struct {
 	Peer string `json:"peer"`
+	// Domain is the daemon's failure domain. Records of earlier builds have none.
+	Domain string `json:"domain,omitempty"`
 }
 
 func (a *Agent) publishSelf() {
-	data, err := json.Marshal(memberRecord{Peer: a.self.Peer})
+	data, err := json.Marshal(memberRecord{Peer: a.self.Peer, Domain: a.self.Domain})
 	if err != nil {
 		a.logger.Error().Str("step", "publish addresses").Err(err).Msg("daemon address could not be encoded; not published")
 		return
@@ -283,15 +285,16 @@
 	}
 	a.input(system.SelfListed{Listed: a.selfListed(newest.Entries), Others: len(newest.Entries)})
 	if addrs := newestAddresses(newest.Entries, a.logger); len(addrs) > 0 {
-		a.input(system.SeedsFound{Addrs: addrs})
+		a.input(system.SeedsFound{Addrs: addrs, Domains: domainsByAddress(newest.Entries)})
 	}
 }
 
-// selfListed reports whether the entries contain this daemon's record with its current address.
+// selfListed reports whether the entries contain this daemon's record with its current address and
+// failure domain.
 func (a *Agent) selfListed(entries []store.Entry) bool {
 	return slices.ContainsFunc(entries, func(e store.Entry) bool {
 		var rec memberRecord
-		return e.Key == a.settings.VM && json.Unmarshal(e.Data, &rec) == nil && rec.Peer == a.self.Peer
+		return e.Key == a.settings.VM && json.Unmarshal(e.Data, &rec) == nil && rec == memberRecord{Peer: a.self.Peer, Domain: a.self.Domain}
 	})
 }
 
@@ -306,3 +309,16 @@
 	})
 	return addrs[:min(len(addrs), maxSeeds)]
 }
+
+// domainsByAddress returns the failure domains of the addresses that daemons have published.
+// Records without a domain and malformed ones, which newestAddresses reports, are left out.
+func domainsByAddress(entries []store.Entry) map[string]string {
+	domains := map[string]string{}
+	for _, e := range entries {
+		var rec memberRecord
+		if json.Unmarshal(e.Data, &rec) == nil && rec.Peer != "" && rec.Domain != "" {
+			domains[rec.Peer] = rec.Domain
+		}
+	}
+	return domains
+}
--- a/internal/system/discovery.go
+++ b/internal/system/discovery.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,10 @@
 	maxFindInterval = 5 * time.Minute
 	// maxSeedDials bounds the seeds dialed in one attempt.
 	maxSeedDials = 3
+	// maxOwnSeedDials bounds the seeds of its own failure domain that a daemon dials in one attempt.
+	// Two connections of each daemon join all daemons of a domain that starts. With three, each
+	// daemon sends every record once more.
+	maxOwnSeedDials = 2
 )
 
 // probe compares states with a random daemon from time to time, so that daemons converge
@@ -54,30 +59,58 @@
 // each other would stay separate until a probe happens to join them.
 func findPeers(w *table.World, now time.Time, out *Outbox) {
 	if now.Before(w.NextSeed) {
+		if ownSeedsFailed(w) {
+			dialSeeds(w, now, true, out)
+		}
 		return
 	}
 	w.NextSeed = now.Add(seedRetry/2 + time.Duration(w.Rand.Int64N(int64(seedRetry))))
 	findSeeds(w, now, out)
 	if len(w.Links) > 0 {
+		w.OwnSeedsDialed = false
 		if now.Sub(w.Started) >= settledAfterGraces*w.Params.Grace {
 			probeSeed(w, now, out)
 		}
 		return
 	}
-	dialed := 0
+	dialSeeds(w, now, !w.OwnSeedsDialed, out)
+	if w.OwnSeedsDialed {
+		w.NextSeed = now.Add(seedRetry / 2)
+	}
+}
+
+// dialSeeds dials seeds on a daemon without connections: those of its own failure domain if ownFirst
+// is set and some may be dialed, otherwise one of them and seeds of other and unknown domains. Until
+// the daemon is connected in its own domain, all that it learns and tells crosses between domains.
+func dialSeeds(w *table.World, now time.Time, ownFirst bool, out *Outbox) {
+	var own, others []string
 	for _, i := range w.Rand.Perm(len(w.Seeds)) {
 		addr := w.Seeds[i]
-		if addr == w.Self.Peer || !w.Reachable(addr, now) {
-			continue
+		switch {
+		case addr == w.Self.Peer || !w.Reachable(addr, now):
+		case w.SeedDomains[addr] == w.Self.Domain:
+			own = append(own, addr)
+		default:
+			others = append(others, addr)
 		}
+	}
+	w.OwnSeedsDialed = ownFirst && len(own) > 0
+	list := own[:min(maxOwnSeedDials, len(own))]
+	if !w.OwnSeedsDialed {
+		list = append(own[:min(1, len(own))], others...)
+		list = list[:min(maxSeedDials, len(list))]
+	}
+	for _, addr := range list {
 		dial(w, addr, false, out)
-		dialed++
-		if dialed == maxSeedDials {
-			return
-		}
 	}
 }
 
+// ownSeedsFailed reports whether this daemon has dialed seeds of its own failure domain, and none
+// of them answered.
+func ownSeedsFailed(w *table.World) bool {
+	return w.OwnSeedsDialed && len(w.Links) == 0 && !slices.ContainsFunc(w.Seeds, w.Dialing)
+}
+
 // findSeeds reads addresses from the log: at every attempt until some were found, and
 // then, on a root, at growing intervals, since other daemons may start later. Each daemon
 // thus reads only a few times, however long a start of the whole fleet takes.
@@ -115,9 +148,10 @@
 	}
 }
 
-// addSeeds adds addresses to the seeds. A daemon without connections dials at once when
+// addSeeds adds addresses to the seeds, and the failure domains that are known of them. A daemon without connections dials at once when
 // it gets its first addresses: until it has met a peer it refuses every call.
-func addSeeds(w *table.World, now time.Time, addrs []string) {
+func addSeeds(w *table.World, now time.Time, addrs []string, domains map[string]string) {
+	maps.Copy(w.SeedDomains, domains)
 	if len(addrs) > 0 && !w.SeedsFound {
 		w.SeedsFound = true
 		if len(w.Links) == 0 {
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"slices"
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/event"
@@ -86,6 +87,9 @@
 	if l.Dialed {
 		l.Met = true
 		w.ClearBackoff(l.Addr)
+		if slices.Contains(w.Seeds, l.Addr) {
+			w.SeedDomains[l.Addr] = h.Domain // the log may list an address under an earlier daemon
+		}
 	} else {
 		sendHello(w, now, l, out)
 	}
@@ -215,7 +219,7 @@
 		w.DeferDial(l.Addr, until)
 	}
 	if len(b.Peers) > 0 {
-		addSeeds(w, now, b.Peers)
+		addSeeds(w, now, b.Peers, nil)
 		w.NextSeed = now
 	}
 }
--- a/internal/system/start_test.go
+++ b/internal/system/start_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
@@ -23,6 +25,11 @@
 	// lastAppendDone is when the last of the appends is done.
 	lastAppendDone time.Time
 	appends        []addressAppend
+	// down is set while the store answers no request.
+	down bool
+	// withoutDomain reports whether a daemon publishes its address as daemons of earlier builds
+	// do, without its failure domain. If nil, none does.
+	withoutDomain func(*testNode) bool
 }
 
 // addressAppend is an append of a daemon's addresses. The store carries out one at a time.
@@ -63,6 +70,13 @@
 			c.pulls++
 		}
 	}
+	if s.down {
+		if out.ReadLog && !n.now.Before(c.nextRead) {
+			c.nextRead = n.now.Add(readRetryDelay)
+			node.inputs = append(node.inputs, DocumentRead{Err: errors.New("store did not answer")})
+		}
+		return
+	}
 	if out.PublishSelf {
 		s.lastAppendDone = latestTime(s.lastAppendDone, n.now).Add(4 * time.Millisecond)
 		s.appends = append(s.appends, addressAppend{s.lastAppendDone, node})
@@ -81,7 +95,13 @@
 		c.finds++
 		node.inputs = append(node.inputs, SelfListed{Listed: slices.Contains(s.published, node.id), Others: len(s.published)})
 		if k := len(s.published); k > 0 {
-			node.inputs = append(node.inputs, SeedsFound{Addrs: s.published[max(0, k-64):]})
+			found := SeedsFound{Addrs: s.published[max(0, k-64):], Domains: map[string]string{}}
+			for _, id := range found.Addrs {
+				if s.withoutDomain == nil || !s.withoutDomain(n.node(id)) {
+					found.Domains[id] = n.node(id).domain
+				}
+			}
+			node.inputs = append(node.inputs, found)
 		}
 	}
 }
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -73,7 +73,11 @@
 type StoreEpoch struct{ Epoch uint64 }
 
 // SeedsFound carries addresses of daemons that were read from the log.
-type SeedsFound struct{ Addrs []string }
+type SeedsFound struct {
+	Addrs []string
+	// Domains holds the failure domains of addresses for which it is known.
+	Domains map[string]string
+}
 
 // SelfListed reports whether the log lists this daemon's current addresses, and the
 // number of other daemons listed there.
@@ -195,7 +199,7 @@
 	case StoreEpoch:
 		receiveStoreEpoch(w, now, v, out)
 	case SeedsFound:
-		addSeeds(w, now, v.Addrs)
+		addSeeds(w, now, v.Addrs, v.Domains)
 	case SelfListed:
 		receiveSelfListed(w, now, v)
 	case QuarantineRead:
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -157,6 +157,12 @@
 	NextFind  time.Time
 	FindEvery time.Duration
 	Seeds     []string
+	// SeedDomains holds the failure domains of the seeds for which it is known: from the log, or
+	// from the last connection to the seed.
+	SeedDomains map[string]string
+	// OwnSeedsDialed is set if this daemon last dialed only seeds of its own failure domain, and
+	// has not been connected since.
+	OwnSeedsDialed bool
 	// Ready is set once the daemon may serve calls: it has connected to peers or found
 	// none, and the configuration held is no older than the one that it had in force in
 	// an earlier incarnation.
@@ -353,13 +359,14 @@
 		Quarantine: Quarantine{
 			Stored: map[suspect.Digest]suspect.Record{}, From: map[suspect.Digest]LinkID{},
 		},
-		Suspects:   suspects,
-		Rollouts:   map[string]*Rollout{},
-		Orders:     map[string]rollout.Order{},
-		PastOrders: map[string][]rollout.Order{},
-		Versions:   map[string]map[string]time.Time{},
-		Seeds:      p.Seeds,
-		NextProbe:  now.Add(p.Probe),
-		ViewDirty:  true,
+		Suspects:    suspects,
+		Rollouts:    map[string]*Rollout{},
+		Orders:      map[string]rollout.Order{},
+		PastOrders:  map[string][]rollout.Order{},
+		Versions:    map[string]map[string]time.Time{},
+		Seeds:       p.Seeds,
+		SeedDomains: map[string]string{},
+		NextProbe:   now.Add(p.Probe),
+		ViewDirty:   true,
 	}
 }
