Roots act as such towards other domains a heartbeat after their first connection

Cause: a daemon that has just started knows few members and therefore ranks first among them.

Change: a root exchanges members with other domains, and connects to them, when it has been a root for a heartbeat after its first connection in its own domain. Since the daemons of a domain may by then know none of another one, a root connects to domains that it knows from the addresses on the log only. A daemon that became a root because those before it died tries the first roots of the other domains first: others no longer forward to it.

--- a/internal/system/discovery_test.go
+++ b/internal/system/discovery_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -173,3 +174,51 @@
 		}
 	}
 }
+
+// TestSeedsOfOwnDomainAreDialedFirst guards against starting daemons that connect to other failure
+// domains although daemons of their own answer, and against daemons that wait long for those of
+// their own if none answers.
+func TestSeedsOfOwnDomainAreDialedFirst(t *testing.T) {
+	own := map[string]string{"own1": "d", "own2": "d", "own3": "d"}
+	found := SeedsFound{Addrs: []string{"far1", "own1", "far2", "own2", "unknown", "own3"}, Domains: map[string]string{"far1": "e", "far2": "e"}}
+	maps.Copy(found.Domains, own)
+	dialed := func(out Outbox) (n, ofOwn int) {
+		for _, d := range out.Dials {
+			if own[d.Addr] != "" {
+				ofOwn++
+			}
+		}
+		return len(out.Dials), ofOwn
+	}
+	failAll := func(out Outbox) []Input {
+		var in []Input
+		for _, d := range out.Dials {
+			in = append(in, DialFailed{Addr: d.Addr})
+		}
+		return in
+	}
+	at := time.Unix(1001, 0)
+
+	t.Run("refused", func(t *testing.T) {
+		is := is.New(t)
+		w := documentWorld()
+		out := Tick(w, at, []Input{found})
+		n, ofOwn := dialed(out)
+		is.Equal([]int{n, ofOwn}, []int{maxOwnSeedDials, maxOwnSeedDials})
+		out = Tick(w, at.Add(time.Millisecond), failAll(out))
+		n, ofOwn = dialed(out)
+		is.Equal([]int{n, ofOwn}, []int{1, 1}) // the last one of its own domain
+		out = Tick(w, at.Add(2*time.Millisecond), failAll(out))
+		n, ofOwn = dialed(out)
+		is.Equal([]int{n, ofOwn}, []int{maxSeedDials, 0})
+	})
+	t.Run("no answer", func(t *testing.T) {
+		is := is.New(t)
+		w := documentWorld()
+		Tick(w, at, []Input{found})
+		n, _ := dialed(Tick(w, at.Add(seedRetry/2-time.Millisecond), nil))
+		is.Equal(n, 0)
+		n, ofOwn := dialed(Tick(w, at.Add(seedRetry/2), nil))
+		is.Equal([]int{n, ofOwn}, []int{maxSeedDials, 1})
+	})
+}
--- a/internal/system/gossip.go
+++ b/internal/system/gossip.go
@@ -36,6 +36,9 @@
 		return
 	}
 	for _, l := range neighbours(w) {
+		if !exchangesWith(w, now, l) {
+			continue
+		}
 		if m := queuedFor(w, now, l); len(m.Records)+len(m.Heartbeats) > 0 {
 			out.send(l.ID, m)
 		}
@@ -81,7 +84,7 @@
 // roots of the other domain send the change to the remaining domains themselves. The roots
 // form a full mesh, in which each root would otherwise receive every change from all others.
 func forwardsTo(w *table.World, from table.LinkID, to *table.Link) bool {
-	if from == to.ID || !exchangesWith(w, to) {
+	if from == to.ID {
 		return false
 	}
 	src := w.Links[from]
@@ -96,8 +99,8 @@
 // no connection in their own domain. While many daemons start, most have connections to other
 // domains for some seconds. If all of them used these, each record would cross between domains once
 // for every daemon.
-func exchangesWith(w *table.World, l *table.Link) bool {
-	return l.Domain == w.Self.Domain || w.MembersTree.Root || !connectedInDomain(w)
+func exchangesWith(w *table.World, now time.Time, l *table.Link) bool {
+	return l.Domain == w.Self.Domain || linksDomains(w, now) || !connectedInDomain(w)
 }
 
 // connectedInDomain reports whether this daemon has a connection, other than a probe, to a peer
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -131,7 +131,7 @@
 	l.Hash = p.Hash
 	l.Members = p.Members
 	compareHash(w, l, out)
-	if !exchangesWith(w, l) {
+	if !exchangesWith(w, now, l) {
 		return
 	}
 	pullConfig(w, now, l, out)
--- a/internal/system/topology.go
+++ b/internal/system/topology.go
@@ -113,8 +113,13 @@
 	if settled || orphaned(w, now) {
 		w.MembersTree.Root = parent == "" || rank < w.Params.Roots
 	}
+	wasJoined := w.MembersTree.Joined
+	w.MembersTree.Joined = wasJoined || connectedInDomain(w)
+	if w.MembersTree.Root && !wasRoot || w.MembersTree.Joined && !wasJoined {
+		w.MembersTree.SettlingSince = now
+	}
 	chooseCoordinators(w)
-	if w.MembersTree.Root {
+	if linksDomains(w, now) {
 		connectDomains(w, now, rank, wanted, out)
 	}
 	dropUnwanted(w, now, wanted, out)
@@ -227,22 +232,78 @@
 	return list
 }
 
-// connectDomains connects a root to one root of every other failure domain.
+// linksDomains reports whether this daemon connects its failure domain to the others. A root does
+// so when it has been one for a heartbeat interval after its first connection in its own domain. A
+// daemon that has just started knows few members and therefore ranks first among them: without the
+// delay, most daemons of a fleet that starts would connect to other domains and exchange all
+// records there.
+func linksDomains(w *table.World, now time.Time) bool {
+	return w.MembersTree.Root && now.Sub(w.MembersTree.SettlingSince) >= w.Params.Heartbeat
+}
+
+// connectDomains connects a root to one root of every other failure domain. A daemon that has become
+// a root because those before it have died tries the first roots there too: only these forward
+// changes to it at once.
 func connectDomains(w *table.World, now time.Time, rank int, wanted map[string]bool, out *Outbox) {
-	for _, domain := range w.Domains() {
+	for _, domain := range knownDomains(w) {
 		if domain == w.Self.Domain {
 			continue
 		}
 		others := order(w, domain)
+		if len(others) == 0 && len(w.Links) > 0 {
+			connectSeeds(w, now, domain, wanted, out)
+			continue
+		}
 		n := min(len(others), 2*w.Params.Roots)
 		list := make([]wire.Member, 0, n)
 		for i := range n {
-			list = append(list, others[(rank+i)%n])
+			list = append(list, others[(rank%w.Params.Roots+i)%n])
 		}
 		connectFirst(w, now, list, wanted, out)
 	}
 }
 
+// knownDomains returns the failure domains of all members and seeds, sorted.
+func knownDomains(w *table.World) []string {
+	domains := slices.Clone(w.Domains())
+	for _, domain := range w.SeedDomains {
+		if !slices.Contains(domains, domain) {
+			domains = append(domains, domain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+// parallelSeedDials is the number of seeds of another failure domain that a root dials at the same
+// time: some of the addresses on the log belong to daemons that no longer run.
+const parallelSeedDials = 2
+
+// connectSeeds connects a root to a seed of a failure domain of which it knows no members yet.
+// While all daemons of a domain start with the seeds of their own domain, none may know another one.
+func connectSeeds(w *table.World, now time.Time, domain string, wanted map[string]bool, out *Outbox) {
+	for _, l := range w.Links {
+		if l.Up() && !l.Probe && l.Domain == domain {
+			wanted[l.Peer] = true
+			return
+		}
+	}
+	dials := parallelSeedDials
+	for _, i := range w.Rand.Perm(len(w.Seeds)) {
+		addr := w.Seeds[i]
+		switch {
+		case dials == 0:
+			return
+		case w.SeedDomains[addr] != domain || addr == w.Self.Peer:
+		case pending(w, addr):
+			dials--
+		case w.Reachable(addr, now):
+			dial(w, addr, false, out)
+			dials--
+		}
+	}
+}
+
 // connectFirst returns the first member of the list that is connected, and dials the
 // first reachable one listed before it, one at a time. It also reports whether the search
 // is over, that is, whether no better member remains to be tried.
