--- a/internal/system/gossip.go
+++ b/internal/system/gossip.go
@@ -36,6 +36,9 @@
 		return
 	}
 	for _, l := range neighbours(w) {
+		if !exchangesWith(w, now, l) {
+			continue
+		}
 		if m := queuedFor(w, now, l); len(m.Records)+len(m.Heartbeats) > 0 {
 			out.send(l.ID, m)
 		}
@@ -90,3 +93,23 @@
 	}
 	return src.Domain == w.Self.Domain || to.Domain == w.Self.Domain
 }
+
+// exchangesWith reports whether this daemon forwards changes of members on the connection, and
+// requests what it lacks there. Between failure domains only the roots do so, and daemons that have
+// no connection in their own domain. While many daemons start, most have connections to other
+// domains for some seconds. If all of them used these, each record would cross between domains once
+// for every daemon.
+func exchangesWith(w *table.World, now time.Time, l *table.Link) bool {
+	return l.Domain == w.Self.Domain || linksDomains(w, now) || !connectedInDomain(w)
+}
+
+// connectedInDomain reports whether this daemon has a connection, other than a probe, to a peer
+// of its own failure domain.
+func connectedInDomain(w *table.World) bool {
+	for _, l := range w.Links {
+		if l.Up() && !l.Probe && l.Domain == w.Self.Domain {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -159,6 +159,12 @@
 	NextFind  time.Time
 	FindEvery time.Duration
 	Seeds     []string
+	// SeedDomains holds the failure domains of the seeds for which it is known: from the log, or
+	// from the last connection to the seed.
+	SeedDomains map[string]string
+	// OwnSeedsDialed is set if this daemon last dialed only seeds of its own failure domain, and
+	// has not been connected since.
+	OwnSeedsDialed bool
 	// Ready is set once the daemon may serve calls: it has connected to peers or found
 	// none, and the configuration held is no older than the one that it had in force in
 	// an earlier incarnation.
@@ -208,6 +214,11 @@
 	Orphan time.Time
 	// Root is set if this daemon reads the log.
 	Root bool
+	// Joined is set once this daemon has had a connection to a peer of its own failure domain.
+	Joined bool
+	// SettlingSince is when this daemon last became a root, or when Joined was set if that was
+	// later.
+	SettlingSince time.Time
 	// Rank is this daemon's index in the order of its failure domain.
 	Rank int
 	// Unwanted holds when each dialed connection that is not part of the tree stopped
@@ -355,13 +366,14 @@
 		Quarantine: Quarantine{
 			Stored: map[suspect.Digest]suspect.Record{}, From: map[suspect.Digest]LinkID{},
 		},
-		Suspects:   suspects,
-		Rollouts:   map[string]*Rollout{},
-		Orders:     map[string]rollout.Order{},
-		PastOrders: map[string][]rollout.Order{},
-		Versions:   map[string]map[string]time.Time{},
-		Seeds:      p.Seeds,
-		NextProbe:  now.Add(p.Probe),
-		ViewDirty:  true,
+		Suspects:    suspects,
+		Rollouts:    map[string]*Rollout{},
+		Orders:      map[string]rollout.Order{},
+		PastOrders:  map[string][]rollout.Order{},
+		Versions:    map[string]map[string]time.Time{},
+		Seeds:       p.Seeds,
+		SeedDomains: map[string]string{},
+		NextProbe:   now.Add(p.Probe),
+		ViewDirty:   true,
 	}
 }
