Starting daemons read the log less often

Cause: a daemon that does not know all members yet ranks among the roots. After the grace time nearly each daemon of a start read the configuration from its beginning and then at its end, and the quarantine twice; the longer the start took, the more of them did. In addition, the agent allowed the next read before the result of the last one had been applied, so that a tick in between repeated it, which is likely on a busy machine.

Change: while its members differ from those of its peers, a daemon that has started recently waits for a peer to supply the configuration; those that will probably rank first read first. The read that makes a daemon ready does not wait for a new record. The quarantine is read by settled readers, and once by a daemon that no peer supplied. A read counts as in progress until its result is applied. The start of the search for a parent is cleared when a parent is found; before, a daemon that lost its parent later counted as orphaned at once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -96,10 +96,12 @@
 	commands commandTable
 	// storeEpoch is the epoch of the store that was last passed to the loop.
 	storeEpoch atomic.Uint64
-	// readingConfig is set while a read of the configuration is in progress.
-	readingConfig atomic.Bool
-	// readingQuarantine is set while a read of quarantined requests is in progress.
-	readingQuarantine atomic.Bool
+	// readingConfig is set from the start of a read of the configuration until its result has
+	// been applied. If it were cleared before, a tick in between would repeat the read, which
+	// happens often on a busy machine. Only the goroutine of the loop accesses it.
+	readingConfig bool
+	// readingQuarantine is the same for reads of quarantined requests.
+	readingQuarantine bool
 	// readingRollouts is set while a read of the rollout records is in progress.
 	readingRollouts atomic.Bool
 	// ctx is cancelled when the daemon is killed.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -130,6 +130,7 @@
 
 func (a *Agent) tick(batch []system.Input) {
 	a.world.Boot = boottime.Now()
+	a.noteReadsDone(batch)
 	out := system.Tick(a.world, time.Now(), batch)
 	if out.Refresh {
 		a.install(view.Build(a.world, a.view))
@@ -157,6 +158,18 @@
 	a.handleRolloutRequests(out)
 }
 
+// noteReadsDone records which reads of the store have ended. Their results are in the batch.
+func (a *Agent) noteReadsDone(batch []system.Input) {
+	for _, in := range batch {
+		switch in.(type) {
+		case system.LogRead, system.DocumentRead:
+			a.readingConfig = false
+		case system.QuarantineRead:
+			a.readingQuarantine = false
+		}
+	}
+}
+
 // recordEvent adds an event to the ring and logs it. Events that an operator should see are
 // logged above the debug level.
 func (a *Agent) recordEvent(e event.Event) {
@@ -178,11 +191,13 @@
 // handleLogRequests starts the log operations that a tick requested, in the background.
 func (a *Agent) handleLogRequests(out system.Outbox) {
 	if out.ReadLog && a.source != nil {
-		if a.readingConfig.CompareAndSwap(false, true) {
+		if !a.readingConfig {
+			a.readingConfig = true
 			go a.readDocument(out.ReadWait)
 		}
-	} else if out.ReadLog && !time.Now().Before(out.ReadAfter) && a.readingConfig.CompareAndSwap(false, true) {
-		go a.readLog(out.ReadFrom)
+	} else if out.ReadLog && !time.Now().Before(out.ReadAfter) && !a.readingConfig {
+		a.readingConfig = true
+		go a.readLog(out.ReadFrom, out.ReadAtOnce)
 	}
 	if out.Append != nil {
 		go a.appendLog(store.ConfigTopic, out.Append)
@@ -195,14 +210,17 @@
 	}
 }
 
-func (a *Agent) readLog(from uint64) {
+func (a *Agent) readLog(from uint64, atOnce bool) {
 	startedAt := boottime.Now()
-	batch, err := a.log.Read(a.ctx, store.Query{Topic: store.ConfigTopic, From: from, Wait: logReadWait})
+	wait := logReadWait
+	if atOnce {
+		wait = 0
+	}
+	batch, err := a.log.Read(a.ctx, store.Query{Topic: store.ConfigTopic, From: from, Wait: wait})
 	a.noteStoreEpoch()
 	if err != nil {
 		sleep(a.ctx, readRetryDelay)
 	}
-	a.readingConfig.Store(false)
 	a.input(system.LogRead{From: from, Batch: batch, Err: err, StartedAt: startedAt})
 }
 
@@ -215,7 +233,6 @@
 	if err != nil {
 		sleep(a.ctx, readRetryDelay)
 	}
-	a.readingConfig.Store(false)
 	if len(orders) > 0 {
 		a.input(system.OrdersRead{Orders: orders})
 	}
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -1,11 +1,17 @@
 package agent
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/comfreygate/comfreygate/internal/callpath"
+	"github.com/comfreygate/comfreygate/internal/devlog"
+	"github.com/comfreygate/comfreygate/internal/settings"
+	"github.com/comfreygate/comfreygate/internal/system"
 	"github.com/comfreygate/comfreygate/platform/store"
 )
 
@@ -19,3 +25,48 @@
 	}
 	is.Equal(newestAddresses(entries, zerolog.Nop()), []string{"10.0.0.2:1", "10.0.0.1:1"})
 }
+
+// TestReadIsNotRepeatedBeforeItsResultIsApplied guards against reads of the store that are
+// repeated while the result of the last one waits for a tick: on a busy machine, daemons that
+// started read the same records twice.
+func TestReadIsNotRepeatedBeforeItsResultIsApplied(t *testing.T) {
+	is := is.New(t)
+	log := devlog.New()
+	_, err := log.Append(context.Background(), store.ConfigTopic, []byte("{}"))
+	is.NoErr(err)
+	s := settings.Default()
+	s.VM, s.FailureDomain = "vm", "domain"
+	const anyPort = "127.0.0.1:0"
+	s.Listen = settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort, Owner: anyPort, Local: anyPort}
+	a, err := New(s, Options{Log: log, Logger: zerolog.Nop(), Dialect: callpath.DefaultDialect()})
+	is.NoErr(err)
+	defer a.Kill()
+	const settleTime = 50 * time.Millisecond // a read from the stand-in log takes far less
+	for _, out := range []system.Outbox{{ReadLog: true}, {ReadQuarantine: true}} {
+		before := log.Counts().Reads
+		request := func() int64 {
+			a.handleLogRequests(out)
+			a.handleQuarantineRequests(out)
+			time.Sleep(settleTime)
+			return log.Counts().Reads - before
+		}
+		is.Equal(request(), int64(1))
+		result := awaitReadResult(a)
+		is.Equal(request(), int64(1)) // not repeated while the result waits
+		a.noteReadsDone([]system.Input{result})
+		is.Equal(request(), int64(2))
+		for len(a.inputs) > 0 {
+			<-a.inputs
+		}
+	}
+}
+
+// awaitReadResult returns the next queued result of a read.
+func awaitReadResult(a *Agent) system.Input {
+	for {
+		switch in := (<-a.inputs).(type) {
+		case system.LogRead, system.QuarantineRead:
+			return in
+		}
+	}
+}
--- a/internal/agent/quarantine.go
+++ b/internal/agent/quarantine.go
@@ -57,7 +57,6 @@
 	if r.Err != nil {
 		sleep(a.ctx, quarantineRetryDelay)
 	}
-	a.readingQuarantine.Store(false)
 	a.input(r)
 }
 
@@ -84,7 +83,8 @@
 // writes of the store's records, and the check whether the owner can clear a newly
 // quarantined request.
 func (a *Agent) handleQuarantineRequests(out system.Outbox) {
-	if out.ReadQuarantine && a.readingQuarantine.CompareAndSwap(false, true) {
+	if out.ReadQuarantine && !a.readingQuarantine {
+		a.readingQuarantine = true
 		go a.readQuarantine()
 	}
 	for _, r := range out.Quarantined {
--- a/internal/system/document.go
+++ b/internal/system/document.go
@@ -66,8 +66,10 @@
 	if r.Err != nil {
 		return
 	}
+	w.Log.ReadFromStart = w.Log.ReadFromStart || w.Config.State.Version == 0
 	w.Log.CaughtUp = true
 	backOffReads(w, now)
+	w.Log.EndReadAt = now
 	if invalid != nil {
 		refuseDocument(w, 0, invalid, out)
 		return
--- a/internal/system/log.go
+++ b/internal/system/log.go
@@ -67,11 +67,13 @@
 		applyEntries(w, now, b.Entries, out)
 	}
 	w.Log.ReadEpoch = b.Epoch
+	w.Log.ReadFromStart = w.Log.ReadFromStart || r.From == 0
 	atEnd := w.Config.State.Position >= b.End
 	w.Log.CaughtUp = w.Log.CaughtUp || atEnd
 	if atEnd {
 		confirmFromStore(w, r.StartedAt)
 		backOffReads(w, now)
+		w.Log.EndReadAt = now
 	}
 }
 
--- a/internal/system/suspects.go
+++ b/internal/system/suspects.go
@@ -118,7 +118,13 @@
 // readsQuarantine reports whether this daemon reads the quarantine from the store. The
 // daemons that read the configuration from the store do so, while the store answers them.
 func readsQuarantine(w *table.World, now time.Time) bool {
-	return w.MembersTree.Root && w.Log.Up && mayReadLog(w, now)
+	if !w.MembersTree.Root || !w.Log.Up || !mayReadLog(w, now) {
+		return false
+	}
+	if w.MembersTree.Rank >= w.Params.Roots && !orphaned(w, now) {
+		return false // about to find a parent
+	}
+	return isSettled(w, now) || readsQuarantineUnsettled(w)
 }
 
 // maxStoredRecords bounds the copies of the store's records held in memory, whoever wrote
--- a/internal/system/testnet_test.go
+++ b/internal/system/testnet_test.go
@@ -65,6 +65,8 @@
 	adjustParams func(*table.Params)
 	// documents is the store of configuration documents. If nil, daemons read the log.
 	documents *documentStore
+	// polled, if set, serves the daemons' reads of the log with the waits of package agent.
+	polled *polledStore
 	// sentBytes, if set, counts the bytes of the messages on suspects and rollouts that
 	// each daemon sent, by daemon ID.
 	sentBytes map[string]int
@@ -278,6 +280,8 @@
 	switch {
 	case n.documents != nil:
 		n.documents.serve(n, node, out)
+	case n.polled != nil:
+		n.polled.serve(n, node, out)
 	case n.log != nil:
 		n.serveLog(node, out)
 	}
--- a/internal/system/topology.go
+++ b/internal/system/topology.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
@@ -82,7 +80,7 @@
 func sortByRank(domain string, members []wire.Member) []wire.Member {
 	keys := make([]rankKey, len(members))
 	for i, m := range members {
-		keys[i] = rankKey{narrowness(m), xxhash.Sum64String(domain + "\x00" + m.ID), i}
+		keys[i] = rankKey{narrowness(m), rankHash(domain, m.ID), i}
 	}
 	slices.SortFunc(keys, func(a, b rankKey) int {
 		return cmp.Or(cmp.Compare(a.narrowness, b.narrowness), cmp.Compare(a.hash, b.hash), cmp.Compare(members[a.index].ID, members[b.index].ID))
@@ -110,6 +108,7 @@
 	w.MembersTree.Rank = rank
 	parent, settled := findParent(w, now, own, rank, wanted, out)
 	w.MembersTree.Parent = parent
+	updateOrphan(w, now)
 	if settled || orphaned(w, now) {
 		w.MembersTree.Root = parent == "" || rank < w.Params.Roots
 	}
@@ -120,7 +119,8 @@
 	dropUnwanted(w, now, wanted, out)
 	probe(w, now, out)
 	findPeers(w, now, out)
-	out.ReadLog = w.MembersTree.Root && mayReadLog(w, now) && !orphanBacksOff(w, now, rank)
+	out.ReadLog = w.MembersTree.Root && mayReadLog(w, now) && !unsettledWaits(w, now) && !orphanBacksOff(w, now, rank)
+	out.ReadAtOnce = !w.Log.CaughtUp
 	out.ReadFrom = readFrom(w)
 	out.ReadAfter = w.Log.ReadAfter
 	out.ReadWait = documentReadWait(w)
@@ -146,17 +146,21 @@
 	}
 }
 
-// orphaned reports whether the search for a parent has taken so long that this daemon
-// should read the log meanwhile.
-func orphaned(w *table.World, now time.Time) bool {
-	if w.MembersTree.Parent != "" {
+// updateOrphan records since when this daemon searches for a parent. The first member of a
+// failure domain does not search.
+func updateOrphan(w *table.World, now time.Time) {
+	switch {
+	case w.MembersTree.Parent != "" || w.MembersTree.Rank == 0:
 		w.MembersTree.Orphan = time.Time{}
-		return false
-	}
-	if w.MembersTree.Orphan.IsZero() {
+	case w.MembersTree.Orphan.IsZero():
 		w.MembersTree.Orphan = now
 	}
-	return now.Sub(w.MembersTree.Orphan) >= w.Params.Heartbeat
+}
+
+// orphaned reports whether the search for a parent has taken so long that this daemon
+// should read the log meanwhile.
+func orphaned(w *table.World, now time.Time) bool {
+	return !w.MembersTree.Orphan.IsZero() && now.Sub(w.MembersTree.Orphan) >= w.Params.Heartbeat
 }
 
 // orphanBacksOff reports whether a daemon that reads the log only because it has no
@@ -191,16 +195,7 @@
 // reading the log at the same time, each waits until its members match those of a peer, or
 // for the grace time.
 func mayReadLog(w *table.World, now time.Time) bool {
-	if now.Sub(w.Started) >= w.Params.Grace {
-		return true
-	}
-	digest, _ := w.MemberDigests()
-	for _, l := range w.Links {
-		if l.Up() && l.Members == digest && len(w.Members) > 0 {
-			return true
-		}
-	}
-	return false
+	return now.Sub(w.Started) >= w.Params.Grace || membersMatchPeer(w)
 }
 
 // findParent returns the parent to use now, and whether the search is over. Until then
--- a/internal/table/link.go
+++ b/internal/table/link.go
@@ -131,6 +131,16 @@
 	return b != nil && b.Dialing
 }
 
+// DialsAny reports whether any attempt to dial is in progress.
+func (w *World) DialsAny() bool {
+	for _, b := range w.Backoffs {
+		if b.Dialing {
+			return true
+		}
+	}
+	return false
+}
+
 // SetDialing records that an attempt to dial the address begins or ends.
 func (w *World) SetDialing(addr string, dialing bool) { w.backoff(addr).Dialing = dialing }
 
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -283,6 +283,11 @@
 	// the reads of a daemon that reads the log only because it has no parent.
 	OrphanReadAfter time.Time
 	OrphanReadPause time.Duration
+	// EndReadAt is when a read last reached the end of the log.
+	EndReadAt time.Time
+	// ReadFromStart is set once this daemon has read the configuration without having received
+	// one from a peer before.
+	ReadFromStart bool
 	// Listing is the state of deciding whether to publish this daemon's addresses on the
 	// log.
 	Listing Listing
