Ledger of attempts: a package of its own

Change: ledger.go is now package internal/ledger. The owner gives it the ID, caller, idempotency key and deadline of an attempt. Behaviour is unchanged.

--- a/internal/callpath/callerconn_test.go
+++ b/internal/callpath/callerconn_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
 
@@ -65,7 +66,7 @@
 	is.Equal(refused.Outcome, outcome.NotRun)
 	is.Equal(refused.Reason, outcome.ReasonCancelled)
 	is.Equal(w.runs.Load(), int64(1))
-	is.Equal(w.owner.ledger.state("gone"), Voided)
+	is.Equal(w.owner.ledger.State("gone"), ledger.Voided)
 	is.True(!closedByPeer(server)) // although another goroutine is reading from it
 	client.Close()
 }
--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -34,7 +35,7 @@
 	graceEnd := time.Now().Add(shutdownGrace)
 	inquiryCtx, cancelInquiry := context.WithDeadline(context.WithoutCancel(ctx), graceEnd)
 	defer cancelInquiry()
-	if state, err := r.inquire(inquiryCtx, pathVoid, u, a); err == nil && state == Voided {
+	if state, err := r.inquire(inquiryCtx, pathVoid, u, a); err == nil && state == ledger.Voided {
 		cancel(errVoided)
 		return
 	}
@@ -80,9 +81,9 @@
 		state, err := r.inquire(ctx, pathAttempt, u, a)
 		delay := interval
 		switch {
-		case err == nil && (state == Waiting || state == Started):
+		case err == nil && (state == ledger.Waiting || state == ledger.Started):
 			failed = 0
-		case err == nil && (state == Unseen || state == Voided):
+		case err == nil && (state == ledger.Unseen || state == ledger.Voided):
 			failed = maxFailedInquiries
 			continue
 		case a.Repeatable:
@@ -110,7 +111,7 @@
 
 // inquire sends an inquiry about an attempt to its owner: pathAttempt asks for its state,
 // pathVoid voids it unless it has started and then asks for its state.
-func (r *remote) inquire(ctx context.Context, path string, u view.Upstream, a *Attempt) (State, error) {
+func (r *remote) inquire(ctx context.Context, path string, u view.Upstream, a *Attempt) (ledger.State, error) {
 	ctx, cancel := context.WithTimeout(crossdomain.WithPurpose(ctx, r.purpose(u, a)), inquiryTimeout)
 	defer cancel()
 	body, err := json.Marshal(Inquiry{Attempt: a.ID, Incarnation: u.Incarnation, LeftMs: time.Until(a.Deadline).Milliseconds()})
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -13,6 +13,7 @@
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/egress"
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/runs"
 	"github.com/comfreygate/comfreygate/internal/suspect"
@@ -53,7 +54,7 @@
 // Owner runs attempts at the upstreams on its VM. It is safe for concurrent use.
 type Owner struct {
 	cfg    OwnerConfig
-	ledger *ledger
+	ledger *ledger.Ledger
 	// running holds the requests that are running at the upstreams of this VM.
 	running *runningRequests
 	guard   *stallGuard
@@ -112,7 +113,7 @@
 	}
 	o := &Owner{
 		cfg:    cfg,
-		ledger: newLedger(cfg.Now), running: newRunningRequests(),
+		ledger: ledger.New(cfg.Now), running: newRunningRequests(),
 		guard:     newStallGuard(boottime.NowAsTime),
 		intake:    newIntake(cfg.LinkMbps, cfg.Now),
 		egress:    egress.New(cfg.LinkMbps, cfg.Now),
--- a/internal/callpath/owneregress_test.go
+++ b/internal/callpath/owneregress_test.go
@@ -20,6 +20,7 @@
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/egress"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
 
@@ -146,7 +147,7 @@
 	is.Equal(second.StatusCode, http.StatusOK)
 	r.eventually("the slot is released", func() bool { return r.w.owner.InFlight() == 0 })
 	is.True(r.w.owner.egress.Backlog() > time.Second) // the responses are still being sent
-	is.Equal(r.w.owner.ledger.state("a-2"), Finished)
+	is.Equal(r.w.owner.ledger.State("a-2"), ledger.Finished)
 }
 
 // TestSlotIsKeptWhileTooMuchWaits guards against unbounded memory for responses that wait,
@@ -329,7 +330,7 @@
 	is.NoErr(err)
 	is.True(after > 1000) // the link is booked for 4.7 s, and the deadline allows less than 2 s
 	is.True(egressHeader(long.Header) > time.Second)
-	is.Equal(r.w.owner.ledger.state("a-2"), Voided)
+	is.Equal(r.w.owner.ledger.State("a-2"), ledger.Voided)
 	is.Equal(r.metrics.EgressRefused.Count(), int64(1))
 	is.Equal(r.w.runs.Load(), int64(1))
 	for _, part := range []string{`"step":"egress"`, `"wait_us":`, `"max_wait_us":`, `"bytes":90000`} {
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -14,6 +14,7 @@
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/egress"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/limits"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
@@ -34,7 +35,7 @@
 
 // InquiryReply is the owner's reply to an Inquiry.
 type InquiryReply struct {
-	State State `json:"state"`
+	State ledger.State `json:"state"`
 }
 
 // maxInquiryBytes is the maximum size of the body of an inquiry and of its reply, in
@@ -51,11 +52,11 @@
 	}
 	switch r.URL.Path {
 	case pathVoid:
-		o.serveInquiry(w, r, func(q Inquiry) State {
-			return o.ledger.tryVoid(q.Attempt, o.cfg.Now().Add(time.Duration(q.LeftMs)*time.Millisecond))
+		o.serveInquiry(w, r, func(q Inquiry) ledger.State {
+			return o.ledger.TryVoid(q.Attempt, o.cfg.Now().Add(time.Duration(q.LeftMs)*time.Millisecond))
 		})
 	case pathAttempt:
-		o.serveInquiry(w, r, func(q Inquiry) State { return o.ledger.state(q.Attempt) })
+		o.serveInquiry(w, r, func(q Inquiry) ledger.State { return o.ledger.State(q.Attempt) })
 	case limits.PathReport, limits.PathLeases:
 		if o.cfg.LimitCoordinator == nil {
 			http.NotFound(w, r)
@@ -69,7 +70,7 @@
 
 // serveInquiry answers an inquiry about an attempt. It answers only for this incarnation:
 // an earlier incarnation may have started attempts of which this one has no record.
-func (o *Owner) serveInquiry(w http.ResponseWriter, r *http.Request, state func(Inquiry) State) {
+func (o *Owner) serveInquiry(w http.ResponseWriter, r *http.Request, state func(Inquiry) ledger.State) {
 	var q Inquiry
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxInquiryBytes)).Decode(&q)
 	switch {
@@ -144,11 +145,11 @@
 		return o.refused(a, refusal)
 	}
 	if refusal, ok := o.reserveEgress(loc, a, ticket); !ok {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, refusal)
 	}
 	if refusal, ok := o.readBody(r, loc, a); !ok {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, o.withLoad(refusal, loc))
 	}
 	return o.admit(r.Context(), loc, a, stalls)
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 )
@@ -32,12 +33,12 @@
 // refused.
 func (o *Owner) admit(ctx context.Context, loc *localUpstream, a *Attempt, stallsBefore int64) outcome.Result {
 	if refusal, blocked := quarantined(o.cfg.Suspects, a, o.cfg.Now()); blocked {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, refusal)
 	}
 	reason, after := loc.gate.Acquire(ctx, admissionRequest(a))
 	if reason != "" {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, o.withLoad(outcome.Refuse(reason, after), loc))
 	}
 	if reason := o.recheckAfterWait(ctx, a, stallsBefore); reason != "" {
@@ -46,7 +47,7 @@
 	if refusal := o.checkSuspect(loc, a); refusal.Reason != "" {
 		return o.refuseAdmitted(loc, a, refusal)
 	}
-	if !o.ledger.start(a.ID) {
+	if !o.ledger.Start(a.ID) {
 		return o.refuseAdmitted(loc, a, outcome.Refuse(outcome.ReasonVoided, 0))
 	}
 	return o.run(ctx, loc, a)
@@ -61,7 +62,7 @@
 	} else {
 		loc.gate.ReleaseUnsent()
 	}
-	o.ledger.abandon(a.ID)
+	o.ledger.Abandon(a.ID)
 	return o.refused(a, r)
 }
 
@@ -93,14 +94,14 @@
 		return nil, outcome.Refuse(outcome.ReasonUpstreamRemoved, 0)
 	}
 	o.recallRateLimit(loc, a)
-	if reason, ok := o.ledger.receive(a); !ok {
+	if reason, ok := o.ledger.Receive(ledger.Attempt{ID: a.ID, Caller: a.Caller, IdempotencyKey: a.IdempotencyKey, Deadline: a.Deadline}); !ok {
 		if reason == outcome.ReasonDuplicate {
 			return nil, outcome.MayHaveRun(outcome.ReasonDuplicate, errors.New("duplicate request: an earlier copy of it was already received"))
 		}
 		return nil, outcome.Refuse(reason, outcome.MinRetryAfter)
 	}
 	if refusal, ok := o.admitRun(loc, a); !ok {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return nil, refusal
 	}
 	return loc, outcome.Result{}
@@ -159,7 +160,7 @@
 		onClose: func() {
 			loc.attempts.remove(a)
 			loc.gate.Release(o.cfg.Now().Sub(began))
-			o.ledger.finish(a.ID)
+			o.ledger.Finish(a.ID)
 		},
 	}
 	if o.cfg.Dialect.ReportedRequests != nil {
@@ -199,7 +200,7 @@
 		return o.refuseAdmitted(loc, a, r)
 	}
 	loc.gate.Release(o.cfg.Now().Sub(began))
-	o.ledger.finish(a.ID)
+	o.ledger.Finish(a.ID)
 	if ctx.Err() != nil {
 		o.logUnknown(loc, a, began, outcome.CancelReason(ctx), err)
 		return outcome.MayHaveRun(outcome.CancelReason(ctx), err)
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -14,6 +14,7 @@
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -267,7 +268,7 @@
 		return lostConnection(outcome.CancelReason(ctx), err)
 	}
 	state, inquiryErr := r.inquire(context.WithoutCancel(ctx), pathVoid, u, a)
-	if inquiryErr == nil && state == Voided {
+	if inquiryErr == nil && state == ledger.Voided {
 		return r.voidedResult(err)
 	}
 	out := lostConnection(outcome.ReasonBroken, err)
--- a/internal/callpath/unsent_test.go
+++ b/internal/callpath/unsent_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -80,8 +81,8 @@
 	is.Equal(late.Reason, outcome.ReasonDeadline)
 
 	is.Equal(w.runs.Load(), int64(0))
-	is.Equal(w.owner.ledger.state("gone"), Voided)
-	is.Equal(w.owner.ledger.state("late"), Voided)
+	is.Equal(w.owner.ledger.State("gone"), ledger.Voided)
+	is.Equal(w.owner.ledger.State("late"), ledger.Voided)
 	is.Equal(w.owner.InFlight(), 0) // the slots were released
 }
 
--- a/internal/callpath/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,4 +1,6 @@
-package callpath
+// Package ledger records the attempts that reached an owner, so that an attempt reported as
+// not run never runs and no attempt runs twice. It does no I/O; the clock is passed in.
+package ledger
 
 import (
 	"sync"
@@ -32,25 +34,35 @@
 	// keyRetention is how long an idempotency key is remembered after the attempt's
 	// deadline.
 	keyRetention = 10 * time.Minute
-	// maxLedgerEntries limits the number of entries. When the ledger is full, new
+	// maxEntries limits the number of entries. When the ledger is full, new
 	// attempts are refused: if old entries were dropped instead, copies that arrive late
 	// could run again.
-	maxLedgerEntries = 200_000
+	maxEntries = 200_000
 	// sweepInterval is the interval at which expired entries are dropped.
 	sweepInterval = 5 * time.Second
 )
 
+// Attempt is what the ledger needs to know of an attempt.
+type Attempt struct {
+	// ID is unique across all attempts.
+	ID     string
+	Caller string
+	// IdempotencyKey is the caller's idempotency key, or empty.
+	IdempotencyKey string
+	Deadline       time.Time
+}
+
 type entry struct {
 	state   State
 	key     string
 	expires time.Time
 }
 
-// ledger records the attempts that reached this owner. An attempt ID moves from Unseen to
+// Ledger records the attempts that reached this owner. An attempt ID moves from Unseen to
 // Waiting to Started to Finished, or to Voided, and never back. This guarantees that an
 // attempt reported as not run never runs, and that no late copy of it does. It is safe
 // for concurrent use.
-type ledger struct {
+type Ledger struct {
 	mu       sync.Mutex
 	attempts map[string]*entry
 	// keys maps caller and idempotency key to the attempt that holds it.
@@ -59,13 +71,14 @@
 	now       func() time.Time
 }
 
-func newLedger(now func() time.Time) *ledger {
-	return &ledger{attempts: map[string]*entry{}, keys: map[string]string{}, now: now}
+// New returns an empty ledger.
+func New(now func() time.Time) *Ledger {
+	return &Ledger{attempts: map[string]*entry{}, keys: map[string]string{}, now: now}
 }
 
-// receive enters an attempt as Waiting. If it returns false, the attempt must be refused
+// Receive enters an attempt as Waiting. If it returns false, the attempt must be refused
 // with the returned reason.
-func (l *ledger) receive(a *Attempt) (outcome.Reason, bool) {
+func (l *Ledger) Receive(a Attempt) (outcome.Reason, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -76,7 +89,7 @@
 		}
 		return outcome.ReasonDuplicate, false
 	}
-	if len(l.attempts) >= maxLedgerEntries {
+	if len(l.attempts) >= maxEntries {
 		return outcome.ReasonOverload, false
 	}
 	e := &entry{state: Waiting, expires: a.Deadline.Add(entryRetention)}
@@ -92,16 +105,16 @@
 	return "", true
 }
 
-// start moves an attempt from Waiting to Started. It returns false if the attempt was
+// Start moves an attempt from Waiting to Started. It returns false if the attempt was
 // voided.
-func (l *ledger) start(id string) bool {
+func (l *Ledger) Start(id string) bool {
 	return l.transition(id, Waiting, Started)
 }
 
-// finish moves an attempt from Started to Finished.
-func (l *ledger) finish(id string) { l.transition(id, Started, Finished) }
+// Finish moves an attempt from Started to Finished.
+func (l *Ledger) Finish(id string) { l.transition(id, Started, Finished) }
 
-func (l *ledger) transition(id string, from, to State) bool {
+func (l *Ledger) transition(id string, from, to State) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.attempts[id]
@@ -112,9 +125,9 @@
 	return true
 }
 
-// abandon voids an attempt that its owner knows not to have run, including one that was
+// Abandon voids an attempt that its owner knows not to have run, including one that was
 // marked Started but whose request was never sent.
-func (l *ledger) abandon(id string) {
+func (l *Ledger) Abandon(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.attempts[id]; e != nil {
@@ -122,7 +135,7 @@
 	}
 }
 
-func (l *ledger) void(e *entry) {
+func (l *Ledger) void(e *entry) {
 	e.state = Voided
 	if e.key != "" {
 		delete(l.keys, e.key)
@@ -130,8 +143,8 @@
 	}
 }
 
-// state returns the state of an attempt.
-func (l *ledger) state(id string) State {
+// State returns the state of an attempt.
+func (l *Ledger) State(id string) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.attempts[id]; e != nil {
@@ -140,10 +153,10 @@
 	return Unseen
 }
 
-// tryVoid voids an attempt unless it has started, and returns its resulting state. An
+// TryVoid voids an attempt unless it has started, and returns its resulting state. An
 // attempt that has not arrived yet is voided in advance, for as long as a late copy of it
 // could still be within its deadline.
-func (l *ledger) tryVoid(id string, deadline time.Time) State {
+func (l *Ledger) TryVoid(id string, deadline time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.attempts[id]
@@ -158,7 +171,7 @@
 	return e.state
 }
 
-func (l *ledger) expire(now time.Time) {
+func (l *Ledger) expire(now time.Time) {
 	if now.Before(l.nextSweep) {
 		return
 	}
