Schedule of request bodies: a package of its own

Cause: the schedule decides without I/O but was part of internal/callpath.

Change: intake.go is now package internal/intake (Queue). Waiting on a context stays in internal/callpath; Queue.Remaining says how long. Behaviour is unchanged.

--- a/internal/callpath/fleet_load_test.go
+++ b/internal/callpath/fleet_load_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/comfreygate/comfreygate/internal/egress"
+	"github.com/comfreygate/comfreygate/internal/intake"
 	"github.com/comfreygate/comfreygate/internal/runs"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
@@ -127,7 +128,7 @@
 		routes = append(routes, k.route)
 	}
 	vm.owner.cfg.Metrics, vm.owner.cfg.Dialect, vm.owner.cfg.Logger = m, DefaultDialect(), zerolog.Nop()
-	vm.owner.intake, vm.owner.egress = newIntake(0, clock), egress.New(0, clock)
+	vm.owner.intake, vm.owner.egress = intake.New(0, clock), egress.New(0, clock)
 	vm.owner.view.Store(&view.View{LoadControl: s.load.loadControl, Routes: view.NewRoutes(routes...)})
 	vm.owner.upstreams = map[string]*localUpstream{vm.id: vm.local}
 	vm.local.gate, vm.local.runs = vm.gate, runs.New(clock, nil)
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -13,6 +13,7 @@
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/egress"
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/intake"
 	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/runs"
@@ -59,7 +60,7 @@
 	running *runningRequests
 	guard   *stallGuard
 	// intake schedules long request bodies that arrive from other VMs.
-	intake *intake
+	intake *intake.Queue
 	// egress schedules long responses to other VMs.
 	egress *egress.Queue
 	// transit measures how long attempts were queued on their way to this daemon.
@@ -115,7 +116,7 @@
 		cfg:    cfg,
 		ledger: ledger.New(cfg.Now), running: newRunningRequests(),
 		guard:     newStallGuard(boottime.NowAsTime),
-		intake:    newIntake(cfg.LinkMbps, cfg.Now),
+		intake:    intake.New(cfg.LinkMbps, cfg.Now),
 		egress:    egress.New(cfg.LinkMbps, cfg.Now),
 		transit:   newTransit(),
 		recent:    suspect.NewRecent(cfg.Now),
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/egress"
+	"github.com/comfreygate/comfreygate/internal/intake"
 	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/limits"
 	"github.com/comfreygate/comfreygate/internal/outcome"
@@ -162,11 +164,11 @@
 		if reason, after := loc.gate.Check(admissionRequest(a)); reason != "" {
 			return outcome.Refuse(reason, after), false
 		}
-		t, after, ok := o.intake.reserve(r.ContentLength, a.Deadline)
+		t, after, ok := o.intake.Reserve(r.ContentLength, a.Deadline)
 		if !ok {
 			return outcome.Refuse(outcome.ReasonLink, after), false
 		}
-		if !o.intake.await(r.Context(), t) {
+		if !o.awaitIntake(r.Context(), t) {
 			return outcome.Refuse(outcome.ReasonCancelled, 0), false
 		}
 	}
@@ -178,6 +180,17 @@
 	return outcome.Result{}, true
 }
 
+// awaitIntake waits until a reserved body may be sent. False: ctx ended first, and the
+// reservation is cancelled.
+func (o *Owner) awaitIntake(ctx context.Context, t intake.Reservation) bool {
+	wait := o.intake.Remaining(t)
+	if wait <= 0 || pause(ctx, wait) {
+		return true
+	}
+	o.intake.Cancel(t)
+	return false
+}
+
 // parseAttempt parses an attempt from the headers of a request, without its body.
 func parseAttempt(r *http.Request, now time.Time) (*Attempt, error) {
 	h := r.Header
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -123,7 +123,7 @@
 
 // withLinkWaits returns the load of an upstream with the waits for the link of this VM.
 func (o *Owner) withLinkWaits(l outcome.Load) outcome.Load {
-	l.Intake = o.intake.wait()
+	l.Intake = o.intake.Wait()
 	l.Egress = o.egress.Wait(l.Service)
 	return l
 }
--- a/internal/callpath/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,14 +1,7 @@
-package callpath
+package intake
 
 import (
-	"context"
-	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"net/http/httptest"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,7 +32,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	at := time.Unix(1000, 0)
 	link := narrowLink{bytesPerSecond: 6e6 / 8}
-	in := newIntake(6, func() time.Time { return at })
+	in := New(6, func() time.Time { return at })
 	type arrival struct {
 		at   time.Time
 		size int64
@@ -49,7 +42,7 @@
 	for range 10_000 { // steps of 1 ms
 		at = at.Add(time.Millisecond)
 		if rng.Float64() < 0.012 {
-			if t, _, ok := in.reserve(body, at.Add(10*time.Second)); ok {
+			if t, _, ok := in.Reserve(body, at.Add(10*time.Second)); ok {
 				waiting = append(waiting, arrival{t.start, body})
 			} else {
 				refused++
@@ -75,71 +68,24 @@
 func TestIntakeRefusesLateBodies(t *testing.T) {
 	is := is.New(t)
 	at := time.Unix(1000, 0)
-	in := newIntake(8, func() time.Time { return at }) // 700 KB/s for bodies
-	first, _, ok := in.reserve(350_000, at.Add(time.Minute))
+	in := New(8, func() time.Time { return at }) // 700 KB/s for bodies
+	first, _, ok := in.Reserve(350_000, at.Add(time.Minute))
 	is.True(ok)
 	is.Equal(first.start, at)
-	_, _, ok = in.reserve(350_000, at.Add(900*time.Millisecond))
+	_, _, ok = in.Reserve(350_000, at.Add(900*time.Millisecond))
 	is.True(!ok) // it would arrive after 1 s
-	second, _, ok := in.reserve(700_000, at.Add(time.Minute))
+	second, _, ok := in.Reserve(700_000, at.Add(time.Minute))
 	is.True(ok)
 	is.Equal(second.start, at.Add(500*time.Millisecond))
-	_, after, ok := in.reserve(20_000, at.Add(time.Minute))
+	is.Equal(in.Remaining(first), time.Duration(0))
+	is.Equal(in.Remaining(second), 500*time.Millisecond)
+	_, after, ok := in.Reserve(20_000, at.Add(time.Minute))
 	is.True(!ok) // the bodies before it take 1.5 s
 	is.Equal(after, 1500*time.Millisecond)
-	in.cancel(second)
-	is.Equal(in.wait(), 500*time.Millisecond)
-	_, _, ok = newIntake(0, func() time.Time { return at }).reserve(1<<30, at)
+	in.Cancel(second)
+	is.Equal(in.Wait(), 500*time.Millisecond)
+	unlimited := New(0, func() time.Time { return at })
+	immediate, _, ok := unlimited.Reserve(1<<30, at)
 	is.True(ok) // the link has no limit
-}
-
-// countingConn counts the bytes that a client sends.
-type countingConn struct {
-	net.Conn
-	sent *atomic.Int64
-}
-
-// Write implements net.Conn.
-func (c countingConn) Write(b []byte) (int, error) {
-	c.sent.Add(int64(len(b)))
-	return c.Conn.Write(b)
-}
-
-// TestRefusedBodyIsNotSent sends a long body to an owner that refuses it and to one that
-// accepts it. A refused body must not use the link.
-func TestRefusedBodyIsNotSent(t *testing.T) {
-	const size = 200_000
-	for _, wanted := range []bool{false, true} {
-		is := is.New(t)
-		var got atomic.Int64
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !wanted {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			n, _ := io.Copy(io.Discard, r.Body)
-			got.Store(n)
-		}))
-		p := newPool(&net.Dialer{}, srv.Listener.Addr().String(), 0, time.Minute, Dialect{})
-		conn, err := net.Dial("tcp", p.addr)
-		is.NoErr(err)
-		var sent atomic.Int64
-		c := newClientConn(p, countingConn{conn, &sent})
-		req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, srv.URL, strings.NewReader(strings.Repeat("x", size)))
-		is.NoErr(err)
-		req.Header.Set("Expect", expectContinue)
-		res, err := c.roundTrip(req)
-		is.NoErr(err)
-		res.Body.Close()
-		if wanted {
-			is.Equal(res.StatusCode, http.StatusOK)
-			is.Equal(got.Load(), int64(size))
-		} else {
-			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
-			is.True(sent.Load() < 1000) // only the headers
-			is.True(c.notReusable)      // the connection cannot be reused: its server still expects the body
-		}
-		c.Close()
-		srv.Close()
-	}
+	is.Equal(unlimited.Remaining(immediate), time.Duration(0))
 }
