Transit delay and stall guard: a package of their own

Cause: both decide without I/O but were part of internal/callpath.

Change: transit.go and the deciding part of stall.go are now package internal/staleness. The ticker goroutine stays with the owner and calls StallGuard.Tick. Behaviour is unchanged.

--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -17,6 +17,7 @@
 	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/runs"
+	"github.com/comfreygate/comfreygate/internal/staleness"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -58,13 +59,13 @@
 	ledger *ledger.Ledger
 	// running holds the requests that are running at the upstreams of this VM.
 	running *runningRequests
-	guard   *stallGuard
+	guard   *staleness.StallGuard
 	// intake schedules long request bodies that arrive from other VMs.
 	intake *intake.Queue
 	// egress schedules long responses to other VMs.
 	egress *egress.Queue
 	// transit measures how long attempts were queued on their way to this daemon.
-	transit *transit
+	transit *staleness.Transit
 	// recent holds the requests that the upstreams of this VM answered recently.
 	recent *suspect.Recent
 	stop   chan struct{}
@@ -115,10 +116,10 @@
 	o := &Owner{
 		cfg:    cfg,
 		ledger: ledger.New(cfg.Now), running: newRunningRequests(),
-		guard:     newStallGuard(boottime.NowAsTime),
+		guard:     staleness.NewStallGuard(boottime.NowAsTime),
 		intake:    intake.New(cfg.LinkMbps, cfg.Now),
 		egress:    egress.New(cfg.LinkMbps, cfg.Now),
-		transit:   newTransit(),
+		transit:   staleness.NewTransit(),
 		recent:    suspect.NewRecent(cfg.Now),
 		stop:      make(chan struct{}),
 		upstreams: map[string]*localUpstream{},
@@ -126,13 +127,27 @@
 	o.view.Store(&view.View{})
 	cfg.Metrics.setEgressWait(func() time.Duration { return o.egress.Wait(0) })
 	cfg.Metrics.setAdmittedPart(o.lowestRunsPart)
-	go o.guard.run(o.stop)
+	go o.recordRunning()
 	return o
 }
 
 // Close stops the owner's background goroutine.
 func (o *Owner) Close() { close(o.stop) }
 
+// recordRunning records regularly that the process is running, until Close.
+func (o *Owner) recordRunning() {
+	ticker := time.NewTicker(staleness.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			o.guard.Tick()
+		case <-o.stop:
+			return
+		}
+	}
+}
+
 // Update replaces the upstreams with those of a new view. An upstream that is draining or
 // no longer listed accepts no new attempts; running attempts finish.
 func (o *Owner) Update(v *view.View) {
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return
 	}
-	excess := o.transit.excess(a.senderIncarnation(), time.Duration(us)*time.Microsecond, boottime.Now())
+	excess := o.transit.Excess(a.senderIncarnation(), time.Duration(us)*time.Microsecond, boottime.Now())
 	a.Deadline = a.Deadline.Add(-excess)
 	if !a.Objective.IsZero() {
 		a.Objective = a.Objective.Add(-excess)
@@ -141,7 +141,7 @@
 // upstream, by its current load, would admit the attempt. The caller must cancel the
 // ticket, also after a panic.
 func (o *Owner) receive(r *http.Request, a *Attempt, ticket *egress.Ticket) outcome.Result {
-	stalls := o.guard.stallCount()
+	stalls := o.guard.StallCount()
 	loc, refusal := o.accept(a)
 	if loc == nil {
 		return o.refused(a, refusal)
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -20,7 +20,7 @@
 // execute admits the attempt, runs it and returns the result. The attempt's slot is held
 // until the response's body is closed.
 func (o *Owner) execute(ctx context.Context, a *Attempt) outcome.Result {
-	stalls := o.guard.stallCount()
+	stalls := o.guard.StallCount()
 	loc, refusal := o.accept(a)
 	if loc == nil {
 		return o.refused(a, refusal)
@@ -70,7 +70,7 @@
 // start any more, or "".
 func (o *Owner) recheckAfterWait(ctx context.Context, a *Attempt, stallsBefore int64) outcome.Reason {
 	switch {
-	case o.guard.stallCount() != stallsBefore || o.guard.stalled() || !o.cfg.Now().Before(a.Deadline):
+	case o.guard.StallCount() != stallsBefore || o.guard.Stalled() || !o.cfg.Now().Before(a.Deadline):
 		return outcome.ReasonStalled
 	case callerDisconnected(ctx):
 		return outcome.ReasonCancelled
@@ -81,7 +81,7 @@
 // accept enters the attempt in the ledger and returns its upstream, or nil and the
 // refusal if the attempt may not run here.
 func (o *Owner) accept(a *Attempt) (*localUpstream, outcome.Result) {
-	if o.guard.stalled() {
+	if o.guard.Stalled() {
 		return nil, outcome.Refuse(outcome.ReasonStalled, 0)
 	}
 	if !o.cfg.Now().Before(a.Deadline) {
--- a/internal/callpath/stall.go
+++ b/internal/staleness/stall.go
@@ -1,4 +1,4 @@
-package callpath
+package staleness
 
 import (
 	"sync/atomic"
@@ -6,9 +6,9 @@
 )
 
 const (
-	// stallCheckInterval is the interval at which a running daemon records that it is
+	// TickInterval is the interval at which a running daemon records with Tick that it is
 	// running.
-	stallCheckInterval = 50 * time.Millisecond
+	TickInterval = 50 * time.Millisecond
 	// stallThreshold is the gap between two of these records that counts as a stall.
 	stallThreshold = 250 * time.Millisecond
 	// stallRefusalPeriod is how long after a stall new attempts are refused: requests
@@ -16,10 +16,10 @@
 	stallRefusalPeriod = 20 * time.Millisecond
 )
 
-// stallGuard detects that this process was not running for a while, for example after
+// StallGuard detects that this process was not running for a while, for example after
 // SIGSTOP or while the VM was paused. The callers of requests that were waiting in its
 // sockets may have given up, so these requests are refused as not run.
-type stallGuard struct {
+type StallGuard struct {
 	lastTick    atomic.Int64
 	refuseUntil atomic.Int64
 	// count is the number of stalls so far.
@@ -29,37 +29,29 @@
 	now func() time.Time
 }
 
-func newStallGuard(now func() time.Time) *stallGuard {
-	g := &stallGuard{now: now}
+// NewStallGuard returns a guard for a process that is running now.
+func NewStallGuard(now func() time.Time) *StallGuard {
+	g := &StallGuard{now: now}
 	g.lastTick.Store(now().UnixNano())
 	return g
 }
 
-// run records regularly that the process is running, until stop is closed.
-func (g *stallGuard) run(stop <-chan struct{}) {
-	ticker := time.NewTicker(stallCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			g.stalled()
-			g.lastTick.Store(g.now().UnixNano())
-		case <-stop:
-			return
-		}
-	}
+// Tick records that the process is running. It must be called every TickInterval.
+func (g *StallGuard) Tick() {
+	g.Stalled()
+	g.lastTick.Store(g.now().UnixNano())
 }
 
-// stallCount returns the number of stalls so far. If it changes while an attempt waits,
+// StallCount returns the number of stalls so far. If it changes while an attempt waits,
 // the attempt must not start: its caller may already have got a response, since the clock
 // by which its deadline is checked may have stood still.
-func (g *stallGuard) stallCount() int64 {
-	g.stalled()
+func (g *StallGuard) StallCount() int64 {
+	g.Stalled()
 	return g.count.Load()
 }
 
-// stalled reports whether the process has resumed from a stall within stallRefusalPeriod.
-func (g *stallGuard) stalled() bool {
+// Stalled reports whether the process has resumed from a stall within stallRefusalPeriod.
+func (g *StallGuard) Stalled() bool {
 	now := g.now().UnixNano()
 	if now-g.lastTick.Load() > int64(stallThreshold) {
 		g.count.Add(1)
--- a/internal/callpath/transit.go
+++ b/internal/staleness/transit.go
@@ -1,4 +1,7 @@
-package callpath
+// Package staleness measures the delays that may have made a received message useless: the
+// time for which it was queued in transit, and the times at which this process was not
+// running. It does no I/O; the clock is passed in.
+package staleness
 
 import (
 	"sync"
@@ -15,12 +18,12 @@
 	transitSenders = 2048
 )
 
-// transit measures by how much the delay of a message exceeds the shortest recent delay
+// Transit measures by how much the delay of a message exceeds the shortest recent delay
 // from the same sender. The clocks of two VMs cannot be compared, but their offset is the
 // same from one message to the next: any delay beyond the shortest was spent in queues.
 // An attempt that was queued for longer than the time it had left is refused instead of
-// run for a caller that has given up. transit is safe for concurrent use.
-type transit struct {
+// run for a caller that has given up. Transit is safe for concurrent use.
+type Transit struct {
 	mu      sync.Mutex
 	senders map[string]*minTransit
 }
@@ -35,11 +38,12 @@
 	windows int
 }
 
-func newTransit() *transit { return &transit{senders: map[string]*minTransit{}} }
+// NewTransit returns a Transit that knows no senders.
+func NewTransit() *Transit { return &Transit{senders: map[string]*minTransit{}} }
 
-// excess returns by how much a message's delay exceeds the shortest recent delay from its
+// Excess returns by how much a message's delay exceeds the shortest recent delay from its
 // sender. sent is the sending time by the sender's clock, now the time of arrival.
-func (t *transit) excess(sender string, sent, now time.Duration) time.Duration {
+func (t *Transit) Excess(sender string, sent, now time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.senders[sender]
@@ -70,7 +74,7 @@
 
 // expire removes the senders whose last window started at least two windows ago, or all
 // senders if there is no such sender.
-func (t *transit) expire(now time.Duration) {
+func (t *Transit) expire(now time.Duration) {
 	before := len(t.senders)
 	for sender, m := range t.senders {
 		if now-m.windowStart >= 2*transitWindow {
