Stated rate limits of upstreams: a package of their own

Cause: which of several stated limits holds is decided without I/O, but was part of internal/callpath.

Change: statedLimit is now ratelimit.Limit. Headers, logs and the metric stay in statedlimit.go. Behaviour is unchanged.

--- a/internal/callpath/fleet_limit_test.go
+++ b/internal/callpath/fleet_limit_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/admission"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/ratelimit"
 )
 
 // simRateLimit is the rate limit of a simulated upstream.
@@ -16,7 +17,7 @@
 	// stated is the limit that the upstream states in its answers, known what its owner
 	// knows of it.
 	stated float64
-	known  *statedLimit
+	known  *ratelimit.Limit
 	// arrivals are the requests that reached the upstream, in order of time.
 	arrivals []time.Time
 	// changes are the limits that the upstream has stated, in order of time.
@@ -44,7 +45,7 @@
 			s.deliverDecisions(vm)
 		})
 	})
-	vm.known = newStatedLimit(vm.gate.SetRate)
+	vm.known = ratelimit.New(vm.gate.SetRate)
 }
 
 // state makes the upstream state a limit from now on.
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -403,7 +403,7 @@
 		reply(r)
 	}
 	if c.attempt.RateLimit > 0 {
-		to.known.recall(s.now, c.attempt.RateLimit)
+		to.known.Recall(s.now, c.attempt.RateLimit)
 	}
 	if reason := s.refusalOnArrival(vm, to, c); reason != "" {
 		refuse(reason, 0)
@@ -506,7 +506,7 @@
 		finished = true
 		finish(status)
 		spent := s.now.Sub(began)
-		known.observe(s.now, began, vm.stated)
+		known.Observe(s.now, began, vm.stated)
 		vm.reportPace(gate, s.now)
 		load := gate.LoadAfter(spent)
 		gate.Release(spent)
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -16,6 +16,7 @@
 	"github.com/comfreygate/comfreygate/internal/intake"
 	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/ratelimit"
 	"github.com/comfreygate/comfreygate/internal/runs"
 	"github.com/comfreygate/comfreygate/internal/staleness"
 	"github.com/comfreygate/comfreygate/internal/suspect"
@@ -103,7 +104,7 @@
 	pool     *pool
 	crashes  crashDetector
 	attempts runningAttempts
-	limit    *statedLimit
+	limit    *ratelimit.Limit
 	// runs limits the new runs of routes whose runs starve.
 	runs *runs.Limiter
 }
@@ -180,7 +181,7 @@
 	}
 	if loc.incarnation != l.Incarnation {
 		loc.incarnation, loc.draining = l.Incarnation, false
-		loc.limit.reset()
+		loc.limit.Reset()
 	}
 	ramp := time.Duration(0)
 	if s := v.Services[l.Service]; s != nil {
@@ -200,7 +201,7 @@
 func (o *Owner) replaceLocal(previous *localUpstream, l table.Local) *localUpstream {
 	gate := admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs))
 	loc := &localUpstream{
-		gate: gate, limit: newStatedLimit(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
+		gate: gate, limit: ratelimit.New(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
 		runs: runs.New(o.cfg.Now, func(c runs.Change) { o.logRunsLimit(l.ID, c) }),
 		pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect),
 	}
@@ -210,7 +211,7 @@
 	}
 	previous.gate.Close(outcome.ReasonUpstreamRemoved)
 	if previous.process == l.Process && previous.incarnation == l.Incarnation {
-		loc.limit.recall(o.cfg.Now(), previous.limit.current())
+		loc.limit.Recall(o.cfg.Now(), previous.limit.Current())
 		loc.draining = previous.draining
 	}
 	return loc
--- a/internal/callpath/stateddrain_test.go
+++ b/internal/callpath/stateddrain_test.go
@@ -38,7 +38,7 @@
 		return reason
 	}
 	loc := update("first", 8)
-	loc.limit.observe(time.Now(), time.Now(), 1)
+	loc.limit.Observe(time.Now(), time.Now(), 1)
 	a := &Attempt{Upstream: "w", Request: "r"}
 	is.True(!w.owner.observeDraining(loc, a, http.Header{}))
 	for range 3 {
