Retry policy: a package of its own

Cause: whether a call is tried again is decided without I/O, but was decided by methods of the ingress. Only tests with a whole ingress covered its rules and budgets.

Metrics, events and logs stay in internal/callpath. Behaviour is unchanged. TestDirectRefusalsDoNotKeepNestedCallsAway now spends the budget through mayRetry, and also checks that direct calls have used it up.

--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -16,6 +16,7 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/retry"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -331,13 +332,13 @@
 		c.attempt.Nested, c.attempt.Urgency, c.attempt.ParentServedPermille = true, parent.urgency, int(permille*parent.vm.gate.ServedFraction())
 		c.attempt.WaitFraction, c.attempt.Repeated, c.attempt.parent = parent.waitFraction, parent.repeated, parent.request
 	}
-	in.earn(c)
+	in.retries.Earn(in.retryCall(c))
 	if c.attempt.Repeated {
-		in.retryBudget.charge(c.service.Name)
+		in.retries.ChargeRepeat(c.service.Name)
 	} else {
 		s.callsTo[c.service.Name]++
 	}
-	s.attempt(vm, k, c, &callAttempts{}, done)
+	s.attempt(vm, k, c, &retry.Attempts{}, done)
 }
 
 // messageDelay is the one-way delay of a message within a VM, within a failure domain, or
@@ -352,24 +353,24 @@
 	return 700 * time.Microsecond
 }
 
-func (s *fleetSim) attempt(vm *simVM, k *simKind, c *call, t *callAttempts, done func(outcome.Result)) {
+func (s *fleetSim) attempt(vm *simVM, k *simKind, c *call, t *retry.Attempts, done func(outcome.Result)) {
 	in := vm.ingress
 	if !s.now.Before(c.attempt.Deadline) {
-		done(in.outOfTime(*t))
+		done(t.OutOfTime())
 		return
 	}
 	if refusal, blocked := quarantined(vm.suspects, &c.attempt, s.now); blocked {
-		done(t.exhausted(refusal))
+		done(t.Exhausted(refusal))
 		return
 	}
-	u, refusal, ok := in.next(c, t.upstreams)
+	u, refusal, ok := in.next(c, t.Upstreams())
 	if !ok {
-		done(t.exhausted(refusal))
+		done(t.Exhausted(refusal))
 		return
 	}
 	to := s.byID[u.ID]
 	c.attempt.RateLimit = in.picker.RateLimit(u.ID)
-	c.attempt.Repeated = c.attempt.Repeated || t.reached > 0
+	c.attempt.Repeated = c.attempt.Repeated || t.Reached()
 	s.attempts++
 	if to.domain != vm.domain {
 		s.crossDomain++
@@ -383,9 +384,9 @@
 				}
 				in.picker.Observe(u, in.rankUrgency(&c.attempt), r)
 				in.picker.Finished(u)
-				t.add(u, r)
+				t.Add(u.ID, r)
 				if !in.mayRetry(c, t) {
-					done(t.best())
+					done(t.Best())
 					return
 				}
 				s.attempt(vm, k, c, t, done)
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/pick"
 	"github.com/comfreygate/comfreygate/internal/pressure"
+	"github.com/comfreygate/comfreygate/internal/retry"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
@@ -78,14 +79,9 @@
 	owner  *Owner
 	remote *remote
 	picker *pick.Picker
-	// retryBudget limits the retries that may reach upstreams, refusalBudget those after
-	// an owner refused an attempt because its upstream was full.
-	retryBudget   *budget
-	refusalBudget *budget
-	// failureBudget limits the retries after an upstream's own failure. They are charged
-	// to retryBudget as well.
-	failureBudget *budget
-	view          atomic.Pointer[view.View]
+	// retries decides which calls are tried again.
+	retries *retry.Policy
+	view    atomic.Pointer[view.View]
 	// confirmedAt is the freshness.Timestamp of the configuration in force: the last time
 	// at which it was certainly the newest.
 	confirmedAt atomic.Int64
@@ -130,9 +126,7 @@
 		cfg: cfg, owner: owner,
 		remote:        newRemote(&net.Dialer{Timeout: cfg.ConnectTimeout, LocalAddr: cfg.Source}, cfg.InquireAfter, cfg.Events, cfg.Metrics),
 		picker:        pick.New(cfg.Domain, cfg.CrossDomainCost/bytesPerMB, cfg.Now, cfg.Seed),
-		retryBudget:   newBudget(retryBudgetShare*cfg.RetryRatio, cfg.RetryBurst),
-		refusalBudget: newBudget(refusalRatio, refusalBurst),
-		failureBudget: newBudget(failureRetryShare*cfg.RetryRatio, failureRetryBurst),
+		retries:       retry.New(retry.Config{Ratio: cfg.RetryRatio, Burst: cfg.RetryBurst}, cfg.Now),
 		incarnationID: uuid.NewString(),
 	}
 	in.remote.onOwnerUnreachable = in.markOwnerDown
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -10,6 +10,7 @@
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/pick"
+	"github.com/comfreygate/comfreygate/internal/retry"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -17,46 +18,38 @@
 // call must not be repeated, or the retry policy, the retry budget or the time is
 // exhausted.
 func (in *Ingress) run(ctx context.Context, c *call) outcome.Result {
-	in.earn(c)
+	in.retries.Earn(in.retryCall(c))
 	if c.attempt.Repeated {
-		in.retryBudget.charge(c.service.Name)
+		in.retries.ChargeRepeat(c.service.Name)
 	}
-	var t callAttempts
+	var t retry.Attempts
 	for {
 		if !in.cfg.Now().Before(c.attempt.Deadline) {
-			return in.outOfTime(t)
+			return t.OutOfTime()
 		}
 		if refusal, isQuarantined := quarantined(in.cfg.Suspects, &c.attempt, in.cfg.Now()); isQuarantined {
 			in.cfg.Metrics.Quarantined.Inc(1)
-			return t.exhausted(refusal)
+			return t.Exhausted(refusal)
 		}
-		u, refusal, ok := in.next(c, t.upstreams)
+		u, refusal, ok := in.next(c, t.Upstreams())
 		if !ok {
-			return t.exhausted(refusal)
+			return t.Exhausted(refusal)
 		}
-		c.attempt.Repeated = c.attempt.Repeated || t.reached > 0
-		c.attempt.Retry = len(t.upstreams) > 0
-		t.add(u, in.try(ctx, c, u))
+		c.attempt.Repeated = c.attempt.Repeated || t.Reached()
+		c.attempt.Retry = len(t.Upstreams()) > 0
+		t.Add(u.ID, in.try(ctx, c, u))
 		if ctx.Err() != nil || in.callsCtx.Err() != nil || !in.mayRetry(c, &t) {
-			return t.best()
+			return t.Best()
 		}
 		in.cfg.Metrics.Retries.Inc(1)
 		in.cfg.Events.Add(event.Event{
 			Kind: event.CallRetried, Request: c.attempt.Request, Service: c.service.Name,
-			Peer: u.ID, Detail: string(t.last.Reason),
+			Peer: u.ID, Detail: string(t.Last().Reason),
 		})
-		in.logRetry(c, u, t.last)
+		in.logRetry(c, u, t.Last())
 	}
 }
 
-// outOfTime returns the result of a call whose deadline passed between two attempts.
-func (in *Ingress) outOfTime(t callAttempts) outcome.Result {
-	if len(t.upstreams) > 0 && t.best().Outcome != outcome.NotRun {
-		return t.best()
-	}
-	return outcome.Refuse(outcome.ReasonDeadline, outcome.MinRetryAfter)
-}
-
 // next returns the upstream for the next attempt. A call with an idempotency key goes to
 // the upstream that the hash of the key selects, whichever daemon it enters at, so that
 // the owner of that upstream sees every copy.
@@ -108,7 +101,7 @@
 func (in *Ingress) recordForRollout(c *call, u view.Upstream, r outcome.Result) {
 	if split := c.service.Split; split != nil && r.Ran() {
 		split.Note(in.cfg.Now(), view.CallResult{
-			Route: c.route.Name, Upstream: u, Failed: r.Outcome != outcome.Answered || upstreamFailed(r), Took: r.Took,
+			Route: c.route.Name, Upstream: u, Failed: r.Outcome != outcome.Answered || retry.UpstreamFailed(r), Took: r.Took,
 		})
 	}
 }
--- a/internal/callpath/ownerruns_test.go
+++ b/internal/callpath/ownerruns_test.go
@@ -10,6 +10,7 @@
 	"github.com/comfreygate/comfreygate/internal/admission"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/retry"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -157,10 +158,10 @@
 	r := newRig(t, 1, 8, time.Millisecond)
 	c := &call{route: &view.Route{}, service: &view.Service{}, attempt: Attempt{Deadline: time.Now().Add(time.Second)}}
 	late := outcome.Refuse(outcome.ReasonOverload, 2*time.Second)
-	r.ingress.earn(c)
+	r.ingress.retries.Earn(r.ingress.retryCall(c))
 	mayRetry := func(refusal outcome.Result) bool {
-		t := &callAttempts{}
-		t.add(view.Upstream{ID: "a"}, refusal)
+		t := &retry.Attempts{}
+		t.Add("a", refusal)
 		return r.ingress.mayRetry(c, t)
 	}
 	is.True(mayRetry(late)) // without load control
@@ -182,19 +183,25 @@
 	direct := &call{route: &view.Route{}, service: v.Services["s"], attempt: Attempt{Urgency: config.Normal, Deadline: time.Now().Add(time.Second)}}
 	nested := *direct
 	nested.attempt.Nested = true
-	r.ingress.earn(direct)
-	r.ingress.earn(&nested)
-	for range 2 * refusalBurst {
+	r.ingress.retries.Earn(r.ingress.retryCall(direct))
+	r.ingress.retries.Earn(r.ingress.retryCall(&nested))
+	mayRetry := func(c *call) bool {
+		t := &retry.Attempts{}
+		t.Add("w0", outcome.Refuse(outcome.ReasonOverload, 0))
+		return r.ingress.mayRetry(c, t)
+	}
+	for range 100 { // twice the budget of a service
 		for _, u := range v.Services["s"].Upstreams {
 			refusal := outcome.Refuse(outcome.ReasonOverload, time.Second)
 			refusal.Load, refusal.HasLoad = admission.New(time.Now, 8, 8, time.Time{}).Load(), true
 			r.ingress.picker.Observe(u, r.ingress.rankUrgency(&direct.attempt), refusal)
 		}
-		r.ingress.spend(r.ingress.refusalBudget, r.ingress.refusalKey(direct))
+		mayRetry(direct)
 	}
+	is.True(!mayRetry(direct))
 	_, _, ok := r.ingress.next(direct, nil)
 	is.True(!ok)
 	_, _, ok = r.ingress.next(&nested, nil)
 	is.True(ok)
-	is.True(r.ingress.spend(r.ingress.refusalBudget, r.ingress.refusalKey(&nested)))
+	is.True(mayRetry(&nested))
 }
