--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -14,8 +14,12 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/egress"
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/intake"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/ratelimit"
 	"github.com/comfreygate/comfreygate/internal/runs"
+	"github.com/comfreygate/comfreygate/internal/staleness"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
@@ -54,16 +58,16 @@
 // Owner runs attempts at the upstreams on its VM. It is safe for concurrent use.
 type Owner struct {
 	cfg    OwnerConfig
-	ledger *ledger
+	ledger *ledger.Ledger
 	// running holds the requests that are running at the upstreams of this VM.
 	running *runningRequests
-	guard   *stallGuard
+	guard   *staleness.StallGuard
 	// intake schedules long request bodies that arrive from other VMs.
-	intake *intake
+	intake *intake.Queue
 	// egress schedules long responses to other VMs.
 	egress *egress.Queue
 	// transit measures how long attempts were queued on their way to this daemon.
-	transit *transit
+	transit *staleness.Transit
 	// recent holds the requests that the upstreams of this VM answered recently.
 	recent *suspect.Recent
 	stop   chan struct{}
@@ -101,7 +105,7 @@
 	pool     *pool
 	crashes  crashDetector
 	attempts runningAttempts
-	limit    *statedLimit
+	limit    *ratelimit.Limit
 	// runs limits the new runs of routes whose runs starve.
 	runs *runs.Limiter
 }
@@ -113,11 +117,11 @@
 	}
 	o := &Owner{
 		cfg:    cfg,
-		ledger: newLedger(cfg.Now), running: newRunningRequests(),
-		guard:     newStallGuard(boottime.NowAsTime),
-		intake:    newIntake(cfg.LinkMbps, cfg.Now),
+		ledger: ledger.New(cfg.Now), running: newRunningRequests(),
+		guard:     staleness.NewStallGuard(boottime.NowAsTime),
+		intake:    intake.New(cfg.LinkMbps, cfg.Now),
 		egress:    egress.New(cfg.LinkMbps, cfg.Now),
-		transit:   newTransit(),
+		transit:   staleness.NewTransit(),
 		recent:    suspect.NewRecent(cfg.Now),
 		stop:      make(chan struct{}),
 		upstreams: map[string]*localUpstream{},
@@ -125,13 +129,27 @@
 	o.view.Store(&view.View{})
 	cfg.Metrics.setEgressWait(func() time.Duration { return o.egress.Wait(0) })
 	cfg.Metrics.setAdmittedPart(o.lowestRunsPart)
-	go o.guard.run(o.stop)
+	go o.recordRunning()
 	return o
 }
 
 // Close stops the owner's background goroutine.
 func (o *Owner) Close() { close(o.stop) }
 
+// recordRunning records regularly that the process is running, until Close.
+func (o *Owner) recordRunning() {
+	ticker := time.NewTicker(staleness.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			o.guard.Tick()
+		case <-o.stop:
+			return
+		}
+	}
+}
+
 // Update replaces the upstreams with those of a new view. An upstream that is draining or
 // no longer listed accepts no new attempts; running attempts finish.
 func (o *Owner) Update(v *view.View) {
@@ -164,7 +182,7 @@
 	}
 	if loc.incarnation != l.Incarnation {
 		loc.incarnation, loc.draining = l.Incarnation, false
-		loc.limit.reset()
+		loc.limit.Reset()
 	}
 	ramp := time.Duration(0)
 	if s := v.Services[l.Service]; s != nil {
@@ -184,7 +202,7 @@
 func (o *Owner) replaceLocal(previous *localUpstream, l table.Local) *localUpstream {
 	gate := admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs))
 	loc := &localUpstream{
-		gate: gate, limit: newStatedLimit(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
+		gate: gate, limit: ratelimit.New(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
 		runs: runs.New(o.cfg.Now, func(c runs.Change) { o.logRunsLimit(l.ID, c) }),
 		pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect),
 	}
@@ -194,7 +212,7 @@
 	}
 	previous.gate.Close(outcome.ReasonUpstreamRemoved)
 	if previous.process == l.Process && previous.incarnation == l.Incarnation {
-		loc.limit.recall(o.cfg.Now(), previous.limit.current())
+		loc.limit.Recall(o.cfg.Now(), previous.limit.Current())
 		loc.draining = previous.draining
 	}
 	return loc
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 	"github.com/comfreygate/comfreygate/internal/boottime"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/egress"
+	"github.com/comfreygate/comfreygate/internal/intake"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/limits"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
@@ -34,7 +37,7 @@
 
 // InquiryReply is the owner's reply to an Inquiry.
 type InquiryReply struct {
-	State State `json:"state"`
+	State ledger.State `json:"state"`
 }
 
 // maxInquiryBytes is the maximum size of the body of an inquiry and of its reply, in
@@ -51,11 +54,11 @@
 	}
 	switch r.URL.Path {
 	case pathVoid:
-		o.serveInquiry(w, r, func(q Inquiry) State {
-			return o.ledger.tryVoid(q.Attempt, o.cfg.Now().Add(time.Duration(q.LeftMs)*time.Millisecond))
+		o.serveInquiry(w, r, func(q Inquiry) ledger.State {
+			return o.ledger.TryVoid(q.Attempt, o.cfg.Now().Add(time.Duration(q.LeftMs)*time.Millisecond))
 		})
 	case pathAttempt:
-		o.serveInquiry(w, r, func(q Inquiry) State { return o.ledger.state(q.Attempt) })
+		o.serveInquiry(w, r, func(q Inquiry) ledger.State { return o.ledger.State(q.Attempt) })
 	case limits.PathReport, limits.PathLeases:
 		if o.cfg.LimitCoordinator == nil {
 			http.NotFound(w, r)
@@ -69,7 +72,7 @@
 
 // serveInquiry answers an inquiry about an attempt. It answers only for this incarnation:
 // an earlier incarnation may have started attempts of which this one has no record.
-func (o *Owner) serveInquiry(w http.ResponseWriter, r *http.Request, state func(Inquiry) State) {
+func (o *Owner) serveInquiry(w http.ResponseWriter, r *http.Request, state func(Inquiry) ledger.State) {
 	var q Inquiry
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxInquiryBytes)).Decode(&q)
 	switch {
@@ -124,7 +127,7 @@
 	if err != nil {
 		return
 	}
-	excess := o.transit.excess(a.senderIncarnation(), time.Duration(us)*time.Microsecond, boottime.Now())
+	excess := o.transit.Excess(a.senderIncarnation(), time.Duration(us)*time.Microsecond, boottime.Now())
 	a.Deadline = a.Deadline.Add(-excess)
 	if !a.Objective.IsZero() {
 		a.Objective = a.Objective.Add(-excess)
@@ -138,17 +141,17 @@
 // upstream, by its current load, would admit the attempt. The caller must cancel the
 // ticket, also after a panic.
 func (o *Owner) receive(r *http.Request, a *Attempt, ticket *egress.Ticket) outcome.Result {
-	stalls := o.guard.stallCount()
+	stalls := o.guard.StallCount()
 	loc, refusal := o.accept(a)
 	if loc == nil {
 		return o.refused(a, refusal)
 	}
 	if refusal, ok := o.reserveEgress(loc, a, ticket); !ok {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, refusal)
 	}
 	if refusal, ok := o.readBody(r, loc, a); !ok {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, o.withLoad(refusal, loc))
 	}
 	return o.admit(r.Context(), loc, a, stalls)
@@ -161,11 +164,11 @@
 		if reason, after := loc.gate.Check(admissionRequest(a)); reason != "" {
 			return outcome.Refuse(reason, after), false
 		}
-		t, after, ok := o.intake.reserve(r.ContentLength, a.Deadline)
+		t, after, ok := o.intake.Reserve(r.ContentLength, a.Deadline)
 		if !ok {
 			return outcome.Refuse(outcome.ReasonLink, after), false
 		}
-		if !o.intake.await(r.Context(), t) {
+		if !o.awaitIntake(r.Context(), t) {
 			return outcome.Refuse(outcome.ReasonCancelled, 0), false
 		}
 	}
@@ -177,6 +180,17 @@
 	return outcome.Result{}, true
 }
 
+// awaitIntake waits until a reserved body may be sent. False: ctx ended first, and the
+// reservation is cancelled.
+func (o *Owner) awaitIntake(ctx context.Context, t intake.Reservation) bool {
+	wait := o.intake.Remaining(t)
+	if wait <= 0 || pause(ctx, wait) {
+		return true
+	}
+	o.intake.Cancel(t)
+	return false
+}
+
 // parseAttempt parses an attempt from the headers of a request, without its body.
 func parseAttempt(r *http.Request, now time.Time) (*Attempt, error) {
 	h := r.Header
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 )
@@ -19,7 +20,7 @@
 // execute admits the attempt, runs it and returns the result. The attempt's slot is held
 // until the response's body is closed.
 func (o *Owner) execute(ctx context.Context, a *Attempt) outcome.Result {
-	stalls := o.guard.stallCount()
+	stalls := o.guard.StallCount()
 	loc, refusal := o.accept(a)
 	if loc == nil {
 		return o.refused(a, refusal)
@@ -32,12 +33,12 @@
 // refused.
 func (o *Owner) admit(ctx context.Context, loc *localUpstream, a *Attempt, stallsBefore int64) outcome.Result {
 	if refusal, blocked := quarantined(o.cfg.Suspects, a, o.cfg.Now()); blocked {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, refusal)
 	}
 	reason, after := loc.gate.Acquire(ctx, admissionRequest(a))
 	if reason != "" {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return o.refused(a, o.withLoad(outcome.Refuse(reason, after), loc))
 	}
 	if reason := o.recheckAfterWait(ctx, a, stallsBefore); reason != "" {
@@ -46,7 +47,7 @@
 	if refusal := o.checkSuspect(loc, a); refusal.Reason != "" {
 		return o.refuseAdmitted(loc, a, refusal)
 	}
-	if !o.ledger.start(a.ID) {
+	if !o.ledger.Start(a.ID) {
 		return o.refuseAdmitted(loc, a, outcome.Refuse(outcome.ReasonVoided, 0))
 	}
 	return o.run(ctx, loc, a)
@@ -61,7 +62,7 @@
 	} else {
 		loc.gate.ReleaseUnsent()
 	}
-	o.ledger.abandon(a.ID)
+	o.ledger.Abandon(a.ID)
 	return o.refused(a, r)
 }
 
@@ -69,7 +70,7 @@
 // start any more, or "".
 func (o *Owner) recheckAfterWait(ctx context.Context, a *Attempt, stallsBefore int64) outcome.Reason {
 	switch {
-	case o.guard.stallCount() != stallsBefore || o.guard.stalled() || !o.cfg.Now().Before(a.Deadline):
+	case o.guard.StallCount() != stallsBefore || o.guard.Stalled() || !o.cfg.Now().Before(a.Deadline):
 		return outcome.ReasonStalled
 	case callerDisconnected(ctx):
 		return outcome.ReasonCancelled
@@ -80,7 +81,7 @@
 // accept enters the attempt in the ledger and returns its upstream, or nil and the
 // refusal if the attempt may not run here.
 func (o *Owner) accept(a *Attempt) (*localUpstream, outcome.Result) {
-	if o.guard.stalled() {
+	if o.guard.Stalled() {
 		return nil, outcome.Refuse(outcome.ReasonStalled, 0)
 	}
 	if !o.cfg.Now().Before(a.Deadline) {
@@ -93,14 +94,14 @@
 		return nil, outcome.Refuse(outcome.ReasonUpstreamRemoved, 0)
 	}
 	o.recallRateLimit(loc, a)
-	if reason, ok := o.ledger.receive(a); !ok {
+	if reason, ok := o.ledger.Receive(ledger.Attempt{ID: a.ID, Caller: a.Caller, IdempotencyKey: a.IdempotencyKey, Deadline: a.Deadline}); !ok {
 		if reason == outcome.ReasonDuplicate {
 			return nil, outcome.MayHaveRun(outcome.ReasonDuplicate, errors.New("duplicate request: an earlier copy of it was already received"))
 		}
 		return nil, outcome.Refuse(reason, outcome.MinRetryAfter)
 	}
 	if refusal, ok := o.admitRun(loc, a); !ok {
-		o.ledger.abandon(a.ID)
+		o.ledger.Abandon(a.ID)
 		return nil, refusal
 	}
 	return loc, outcome.Result{}
@@ -122,7 +123,7 @@
 
 // withLinkWaits returns the load of an upstream with the waits for the link of this VM.
 func (o *Owner) withLinkWaits(l outcome.Load) outcome.Load {
-	l.Intake = o.intake.wait()
+	l.Intake = o.intake.Wait()
 	l.Egress = o.egress.Wait(l.Service)
 	return l
 }
@@ -159,7 +160,7 @@
 		onClose: func() {
 			loc.attempts.remove(a)
 			loc.gate.Release(o.cfg.Now().Sub(began))
-			o.ledger.finish(a.ID)
+			o.ledger.Finish(a.ID)
 		},
 	}
 	if o.cfg.Dialect.ReportedRequests != nil {
@@ -199,7 +200,7 @@
 		return o.refuseAdmitted(loc, a, r)
 	}
 	loc.gate.Release(o.cfg.Now().Sub(began))
-	o.ledger.finish(a.ID)
+	o.ledger.Finish(a.ID)
 	if ctx.Err() != nil {
 		o.logUnknown(loc, a, began, outcome.CancelReason(ctx), err)
 		return outcome.MayHaveRun(outcome.CancelReason(ctx), err)
