Compress calls to owners in other failure domains

Change: a daemon advertises in its member record (z) that it accepts compressed connections. The view marks the upstreams to which calls are compressed: their owner is in another failure domain and accepts it, and calls.compress has it in force (auto: where load control is). The pool opens compressed connections to these. The picker estimates their headers as 240 bytes; a test derives that from typical messages. A rejected preface counts as not run. Metrics compress.in_bytes and .out_bytes, a log line "compression" at the start and at each change.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/comfreygate/comfreygate/internal/callpath"
+	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/limits"
@@ -248,6 +249,7 @@
 		Peer:  cmp.Or(a.settings.Listen.AdvertisePeers, a.listeners.peers.Addr().String()),
 		Owner: cmp.Or(a.settings.Listen.AdvertiseOwner, a.listeners.owner.Addr().String()),
 		Admin: a.listeners.admin.Addr().String(), LinkMbps: a.settings.Calls.LinkMbps, Incarnation: uint64(now.UnixNano()),
+		Compress: true,
 	}
 }
 
@@ -294,7 +296,7 @@
 	a.spawn(a.watchSuspects)
 	a.spawn(func() { a.transport.Serve(a.listeners.peers) })
 	a.serve(a.listeners.callers, a.ingress)
-	a.serve(a.listeners.owner, a.owner)
+	a.serve(compress.Listener(a.listeners.owner), a.owner)
 	a.serve(a.listeners.admin, admin)
 	a.serve(a.listeners.local, a.localHandler())
 	a.logger.Info().Interface("listen", a.Addresses()).Msg("listening")
@@ -359,12 +361,23 @@
 		a.events.Add(event.Event{Kind: event.Alarm, Version: v.Version, Detail: err.Error()})
 		return
 	}
+	a.logCompression(v)
 	a.view = v
 	a.owner.Update(v)
 	a.ingress.Update(v)
 	a.ready.Store(v.Ready && !a.stopping.Load())
 }
 
+// logCompression logs whether calls to other failure domains are compressed, at the start and
+// when that changes.
+func (a *Agent) logCompression(v *view.View) {
+	if a.view != nil && a.view.Compress == v.Compress {
+		return
+	}
+	a.logger.Info().Str("step", "compression").Bool("in_force", v.Compress).Str("setting", string(a.settings.Calls.Compress)).
+		Msg("compression of calls to other failure domains")
+}
+
 // Ready reports whether this daemon serves calls, including those that need a key, and is not
 // stopping.
 func (a *Agent) Ready() bool { return a.ready.Load() && !a.ingress.Stale() }
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -138,6 +138,7 @@
 	in.remote.onOwnerUnreachable = in.markOwnerDown
 	in.remote.suspects = cfg.Suspects
 	in.remote.countCrossDomain(cfg.Domain, cfg.Metrics.CrossDomain)
+	in.remote.compressed = cfg.Metrics.Compress
 	in.view.Store(&view.View{})
 	in.backgroundCtx, in.cancelBackground = context.WithCancel(context.Background())
 	in.callsCtx, in.cancelCalls = context.WithCancel(context.Background())
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 )
 
@@ -69,6 +70,8 @@
 	Latency metrics.Timer
 	// CrossDomain counts the bytes to and from other failure domains.
 	CrossDomain *crossdomain.Counters
+	// Compress counts the bytes of compressed calls before compression.
+	Compress *compress.Metrics
 }
 
 // NewMetrics registers the metrics of the call path.
@@ -102,6 +105,7 @@
 		EgressRefused:    metrics.GetOrRegisterCounter("egress.refused", r),
 		Latency:          metrics.GetOrRegisterTimer("calls.latency", r),
 		CrossDomain:      crossdomain.NewCounters(r),
+		Compress:         compress.NewMetrics(r),
 	}
 	metrics.NewRegisteredFunctionalGauge("egress.waiting_us", r, m.egressWaitMicros)
 	m.AdmittedRuns = metrics.NewRegisteredFunctionalGaugeFloat64("runs.admitted_part", r, m.admittedRuns)
--- a/internal/callpath/overload_test.go
+++ b/internal/callpath/overload_test.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
@@ -93,7 +94,9 @@
 		Incarnation: 1, QueueFactor: 1, ConnectTimeout: time.Second, IdleTimeout: time.Minute,
 		Dialect: DefaultDialect(), Events: events, Metrics: m, Now: time.Now,
 	})
-	w.srv = httptest.NewServer(w.owner)
+	w.srv = httptest.NewUnstartedServer(w.owner)
+	w.srv.Listener = compress.Listener(w.srv.Listener)
+	w.srv.Start()
 	t.Cleanup(func() {
 		w.srv.Close()
 		w.owner.Close()
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
@@ -31,6 +33,10 @@
 	// crossDomain counts the bytes of the connections for the purposes of their requests; nil:
 	// they are not counted.
 	crossDomain *crossdomain.Counters
+	// compress is set if connections are compressed that are opened from now on. Their bytes are
+	// counted by compressed.
+	compress   atomic.Bool
+	compressed *compress.Metrics
 	// tokens holds one token per open connection; nil if their number is unlimited.
 	tokens chan struct{}
 
@@ -44,10 +50,12 @@
 	net.Conn
 	pool *pool
 	// counted counts the bytes of the connection, or is nil.
-	counted   *crossdomain.Conn
-	br        *bufio.Reader
-	bw        *bufio.Writer
-	idleSince time.Time
+	counted *crossdomain.Conn
+	// compressed is the compressed connection over Conn, or nil.
+	compressed *compress.Dialed
+	br         *bufio.Reader
+	bw         *bufio.Writer
+	idleSince  time.Time
 	// notReusable is set once the connection must not be reused. Only the goroutine that
 	// holds the connection accesses it.
 	notReusable bool
@@ -233,11 +241,23 @@
 }
 
 func newClientConn(p *pool, conn net.Conn) *clientConn {
-	if p.crossDomain == nil {
-		return &clientConn{Conn: conn, pool: p, br: bufio.NewReader(conn), bw: bufio.NewWriter(conn)}
+	c := &clientConn{Conn: conn, pool: p}
+	stream := conn
+	if p.crossDomain != nil {
+		c.counted = p.crossDomain.Conn(conn, crossdomain.Uncounted)
+		stream = c.counted
 	}
-	counted := p.crossDomain.Conn(conn, crossdomain.Uncounted)
-	return &clientConn{Conn: conn, pool: p, counted: counted, br: bufio.NewReader(counted), bw: bufio.NewWriter(counted)}
+	if p.compress.Load() {
+		c.compressed = compress.Conn(stream, p.compressed)
+		stream = c.compressed
+	}
+	c.br, c.bw = bufio.NewReader(stream), bufio.NewWriter(stream)
+	return c
+}
+
+// unread reports whether bytes have arrived that were not read.
+func (c *clientConn) unread() bool {
+	return c.br.Buffered() > 0 || c.compressed != nil && c.compressed.Buffered() > 0
 }
 
 func (p *pool) returnToken() {
@@ -325,7 +345,7 @@
 	b.once.Do(func() {
 		// b.stop reports false if the context has ended: the connection's deadline has
 		// been changed then, and the connection cannot be reused.
-		complete := b.atEOF && b.conn.br.Buffered() == 0
+		complete := b.atEOF && !b.conn.unread()
 		if b.stop() && complete && b.reusable && !b.conn.notReusable {
 			b.conn.pool.put(b.conn)
 			return
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/boottime"
+	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/outcome"
@@ -54,6 +55,8 @@
 	// others; nil: they are not counted.
 	domain      string
 	crossDomain *crossdomain.Counters
+	// compressed counts the bytes of compressed connections; nil: they are not counted.
+	compressed *compress.Metrics
 	// suspects is the table of suspects that the whole daemon shares.
 	suspects *suspect.Table
 	// callsCtx is cancelled when attempts must end because the process is about to exit.
@@ -98,6 +101,7 @@
 	p = newPool(r.dialer, owner, 0, ownerIdleTimeout, Dialect{})
 	p.unackedTimeout = ownerAckTimeout
 	p.crossDomain = r.crossDomain
+	p.compressed = r.compressed
 	r.owners[owner] = p
 	return p
 }
@@ -114,6 +118,7 @@
 // send sends an attempt to the upstream's owner and waits for the result.
 func (r *remote) send(ctx context.Context, u view.Upstream, a *Attempt) outcome.Result {
 	p := r.pool(u.Owner)
+	p.compress.Store(u.Compress)
 	ctx, cancelCtx := context.WithCancelCause(ctx)
 	stopHook := context.AfterFunc(r.callsCtx, func() { r.voidOnShutdown(ctx, cancelCtx, u, a) })
 	cancel := func(cause error) {
@@ -292,6 +297,12 @@
 	if withheld {
 		return out, true
 	}
+	if errors.Is(err, compress.ErrNotAccepted) {
+		// The owner has restarted as an earlier build and has read no request. An owner of this
+		// build would refuse the attempt because of its incarnation.
+		out.Reason, out.RetryAfter = outcome.ReasonUpstreamRemoved, 0
+		return out, true
+	}
 	if !notSent(err) {
 		return outcome.Result{}, false
 	}
--- a/internal/compress/compress_test.go
+++ b/internal/compress/compress_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,8 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
+
+	"github.com/comfreygate/comfreygate/internal/pick"
 )
 
 // wireConn is one end of a connection in memory: it reads in and records what is written.
@@ -362,6 +365,20 @@
 	}
 }
 
+// TestPickerEstimatesTheHeaders derives the constant by which the selection of an upstream
+// estimates a compressed call. A wrong one sends calls to other failure domains that are not worth
+// their bytes, or keeps those that are.
+func TestPickerEstimatesTheHeaders(t *testing.T) {
+	const attempts, tolerance = 1000, 0.1
+	requests, responses := typicalMessages(attempts, 1)
+	_, wire := exchange(t, requests, responses)
+	headers := wire/attempts - typicalBody
+	t.Logf("%d bytes of headers per attempt", headers)
+	if math.Abs(float64(headers-pick.CompressedHeaderBytes)) > tolerance*pick.CompressedHeaderBytes {
+		t.Errorf("headers take %d bytes, the picker counts with %d", headers, pick.CompressedHeaderBytes)
+	}
+}
+
 // exchange sends requests and responses over a connection and returns their length and that on
 // the wire. It fails if one of them arrives changed or takes more than one write.
 func exchange(t testing.TB, requests, responses [][]byte) (plain, wire int) {
--- a/internal/pick/locality.go
+++ b/internal/pick/locality.go
@@ -11,6 +11,8 @@
 	local        *view.Upstream
 	sameDomain   []*view.Upstream
 	otherDomains []*view.Upstream
+	// compressed is set if calls to one of otherDomains are compressed.
+	compressed bool
 }
 
 // localityGroupsOf returns the groups of a service's upstreams. They are cached until the
@@ -29,6 +31,7 @@
 			groups.sameDomain = append(groups.sameDomain, u)
 		default:
 			groups.otherDomains = append(groups.otherDomains, u)
+			groups.compressed = groups.compressed || u.Compress
 		}
 	}
 	// A single upstream may be that of a key rather than the whole service.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -21,7 +21,7 @@
 	Body int
 	// Answer is how many bytes the answer usually has.
 	Answer int
-	// Bytes is how many bytes are sent to the upstream's VM and back.
+	// Bytes is how many bytes are sent to the upstream's VM and back, uncompressed.
 	Bytes int
 	// AffinityKey, if not empty, determines the upstream: of those that may be tried, all
 	// daemons pick the same one for a key, whatever it costs.
@@ -123,16 +123,28 @@
 	for _, u := range p.twoUsable(groups.sameDomain, c, now) {
 		consider(u, hopCost)
 	}
-	crossDomainCost := float64(c.Bytes) * p.byteCost
-	if crossDomainCost > maxCrossDomainCost && p.domainReachable(groups) {
+	if p.crossDomainCost(c, groups.compressed) > maxCrossDomainCost && p.domainReachable(groups) {
 		return best
 	}
 	for _, u := range p.twoUsable(groups.otherDomains, c, now) {
-		consider(u, hopCost+crossDomainCost*p.byteCostFactor)
+		cost := p.crossDomainCost(c, u.Compress)
+		if cost > maxCrossDomainCost && p.domainReachable(groups) {
+			continue
+		}
+		consider(u, hopCost+cost*p.byteCostFactor)
 	}
 	return best
 }
 
+// crossDomainCost returns what the bytes of a call cost if it is sent to another failure domain.
+func (p *Picker) crossDomainCost(c Criteria, compressed bool) float64 {
+	bytes := c.Bytes
+	if compressed {
+		bytes -= headerBytes - CompressedHeaderBytes
+	}
+	return float64(max(0, bytes)) * p.byteCost
+}
+
 // byAffinityKey returns the upstream of the call's affinity key among those that may be
 // tried now.
 func (p *Picker) byAffinityKey(s *view.Service, c Criteria, now time.Time) *view.Upstream {
--- a/internal/pick/picker_test.go
+++ b/internal/pick/picker_test.go
@@ -270,3 +270,21 @@
 	_, refusal, _ = f.Pick(f.service, long)
 	is.Equal(refusal, outcome.Refuse(outcome.ReasonLink, 50*time.Millisecond))
 }
+
+// TestCompressedCallsCostFewerBytes: a call that is too expensive for another failure domain with
+// its headers as they are may go there if they are compressed.
+func TestCompressedCallsCostFewerBytes(t *testing.T) {
+	is := is.New(t)
+	const bytes = headerBytes + 100
+	picks := func(compressed bool) (picked string) {
+		p := New("d", 1.0/(bytes-1), time.Now, 1) // a call of that many bytes costs more than its worth
+		near := view.Upstream{ID: "near", Service: "s", Slots: 1, Owner: "n", Domain: "d"}
+		far := view.Upstream{ID: "far", Service: "s", Slots: 1, Owner: "f", Domain: "e", Compress: compressed}
+		s := &view.Service{Service: config.Service{Name: "s"}, Upstreams: []view.Upstream{near, far}}
+		p.Observe(near, config.Normal, outcome.Refuse(outcome.ReasonOverload, time.Minute))
+		u, _, _ := p.Pick(s, Criteria{Urgency: config.Normal, Objective: time.Second, TypicalLatency: time.Millisecond, Bytes: bytes})
+		return u.ID
+	}
+	is.Equal(picks(false), "")
+	is.Equal(picks(true), "far")
+}
--- a/internal/pick/routestats.go
+++ b/internal/pick/routestats.go
@@ -9,6 +9,8 @@
 	// headerBytes is the size of a call's headers on the way to another VM and back,
 	// without its bodies.
 	headerBytes = 900
+	// CompressedHeaderBytes is that size where calls are compressed.
+	CompressedHeaderBytes = 240
 	// routeWeight is the weight of the newest answer in a route's means.
 	routeWeight = 0.1
 	// initialAnswerBytes is the assumed size of an answer before the first one.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -171,6 +171,8 @@
 		return &invalidSetting{"calls.link_mbps", "must be between 0 and 1000000"}
 	case !s.Calls.LoadControl.Valid():
 		return &invalidSetting{"calls.load_control", "must be auto, on or off"}
+	case !s.Calls.Compress.Valid():
+		return &invalidSetting{"calls.compress", "must be auto, on or off"}
 	case s.GCPercent < 10 || s.GCPercent > 10_000:
 		return &invalidSetting{"gc_percent", "must be between 10 and 10000"}
 	case s.MaxEvents < 16:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -206,6 +206,10 @@
 	// calls, workspaces' limits and the pace of upstreams. Default: auto, which is where the
 	// configuration has a workspace with a limit or a policy with large answers.
 	LoadControl config.LoadControl `yaml:"load_control"`
+	// Compress says when calls to other failure domains are compressed: auto, on or off.
+	// Only those to daemons that accept it are. Default: auto, which is where load control
+	// is in force.
+	Compress config.Compression `yaml:"compress"`
 	// Drain is how long callers take to notice that a daemon is stopping. A stopping
 	// daemon keeps accepting calls for this long, but no longer than 0.4 of bounds.stop.
 	// Default: 2500ms, which is two readiness checks one second apart, and half a second
@@ -263,7 +267,7 @@
 		Calls: Calls{
 			MaxBody: 1 << 20, MaxHeader: 1 << 16, QueueFactor: 1,
 			ConnectTimeout: Duration(500 * time.Millisecond), UpstreamIdle: Duration(20 * time.Second),
-			InquireAfter: Duration(time.Second), RetryRatio: 0.1, RetryBurst: 50, CrossDomainCost: 40, LoadControl: config.LoadControlAuto,
+			InquireAfter: Duration(time.Second), RetryRatio: 0.1, RetryBurst: 50, CrossDomainCost: 40, LoadControl: config.LoadControlAuto, Compress: config.CompressionAuto,
 			Drain: Duration(2500 * time.Millisecond),
 		},
 		Logging: "info", GCPercent: 400,
@@ -305,6 +309,6 @@
 		Probe: time.Duration(c.Probe), Checkpoint: time.Duration(s.Log.Retention) / checkpointsPerRetention,
 		Seeds: c.Peers, Domains: len(s.FailureDomains),
 		InForce: time.Duration(s.Bounds.InForce), Revoke: time.Duration(s.Bounds.Revoke), Exposure: s.Bounds.Exposure,
-		LoadControl: s.Calls.LoadControl,
+		LoadControl: s.Calls.LoadControl, Compression: s.Calls.Compress,
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/comfreygate/comfreygate/internal/config"
 )
 
 const minimal = `vm: ikeja-1
@@ -21,6 +23,13 @@
 	is.Equal(s.Control.Fanout, 8)
 	is.Equal(s.Params().Checkpoint, 6*time.Hour)
 	is.Equal(s.Listen.SourceAddr(), nil)
+	is.Equal(s.Params().Compression, config.CompressionAuto)
+	s, err = Parse([]byte(minimal + "calls: {compress: \"off\"}\n"))
+	is.NoErr(err)
+	is.Equal(s.Params().Compression, config.CompressionOff)
+	s, err = Parse([]byte(minimal + "calls: {compress: on}\n"))
+	is.NoErr(err)
+	is.Equal(s.Params().Compression, config.CompressionOn)
 }
 
 func TestBadSettingsNameKeyLineAndReason(t *testing.T) {
@@ -42,6 +51,7 @@
 		{"negative bound", minimal + "bounds:\n  in_force: -3000ms\n", []string{"line 5: bounds.in_force: must be at least 1s"}},
 		{"bound without a unit", minimal + "bounds:\n  in_force: 3000\n", []string{"line 5: bounds.in_force", "150ms"}},
 		{"unknown bound", minimal + "bounds:\n  contact: 3s\n", []string{"contact", "5"}},
+		{"unknown compression", minimal + "calls:\n  compress: always\n", []string{"line 5: calls.compress: must be auto, on or off"}},
 		{"negative drain", minimal + "calls:\n  drain: -1s\n", []string{"line 5: calls.drain"}},
 		{"wrong type", minimal + "events: many\n", []string{"events", "4"}},
 		{"not YAML", "vm: [", []string{"vm"}},
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -61,6 +61,8 @@
 	Domains int
 	// LoadControl says when load control is in force.
 	LoadControl config.LoadControl
+	// Compression says when calls to other failure domains are compressed.
+	Compression config.Compression
 	// Seeds are the addresses of daemons through which the others are found.
 	Seeds []string
 }
@@ -85,6 +87,7 @@
 		InForce:            15 * time.Second,
 		Exposure:           0.1,
 		LoadControl:        config.LoadControlAuto,
+		Compression:        config.CompressionAuto,
 	}
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -31,6 +31,9 @@
 	Owner       string
 	// Local is set if this daemon owns the upstream.
 	Local bool
+	// Compress is set if calls to the upstream are compressed: compression is in force, and
+	// the owner is in another failure domain and accepts it.
+	Compress bool
 }
 
 // Service is a service with the upstreams known to this daemon. The list may be empty: a
@@ -70,6 +73,8 @@
 	LimitCoordinators map[string]LimitCoordinator
 	// LoadControl is set if load control is in force.
 	LoadControl bool
+	// Compress is set if compression of calls to other failure domains is in force.
+	Compress bool
 	// Domains is the least number of failure domains of the deployment.
 	Domains int
 	// Daemons is the number of known daemons, including those whose records have lapsed.
@@ -100,11 +105,12 @@
 	}
 	v.Routes = routes.forState(state)
 	v.LoadControl = w.Params.LoadControl.InForce(state.Content)
+	v.Compress = w.Params.Compression.InForce(v.LoadControl)
 	v.Daemons, v.Domains = len(w.Members)+1, w.Params.Domains
 	for domain, m := range w.LimitCoordinators {
 		v.LimitCoordinators[domain] = LimitCoordinator{Daemon: m.ID, Owner: m.Owner, Local: m.ID == w.Self.ID}
 	}
-	w.EachLive(func(m wire.Member) { v.addMember(m, m.ID == w.Self.ID) })
+	w.EachLive(func(m wire.Member) { v.addMember(w, m) })
 	for _, s := range v.Services {
 		slices.SortFunc(s.Upstreams, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
@@ -116,7 +122,8 @@
 }
 
 // addMember adds the upstreams of a daemon that accept calls.
-func (v *View) addMember(m wire.Member, local bool) {
+func (v *View) addMember(w *table.World, m wire.Member) {
+	local, compress := m.ID == w.Self.ID, v.Compress && m.Compress && m.Domain != w.Self.Domain
 	if m.Leaving || m.Owner == "" {
 		return
 	}
@@ -127,7 +134,7 @@
 		}
 		s.Upstreams = append(s.Upstreams, Upstream{
 			ID: u.ID, Service: u.Service, Version: u.Version, Slots: u.Slots, ProcessIncarnation: u.ProcessIncarnation, AnnouncedAt: time.UnixMilli(u.AnnouncedAtMs),
-			Daemon: m.ID, Incarnation: m.Incarnation, Domain: m.Domain, Owner: m.Owner, Local: local,
+			Daemon: m.ID, Incarnation: m.Incarnation, Domain: m.Domain, Owner: m.Owner, Local: local, Compress: compress,
 		})
 	}
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -36,3 +36,45 @@
 	is.Equal(len(v.Services["s"].Upstreams), 1)
 	is.Equal(v.Services["s"].Upstreams[0].ID, "sound/u")
 }
+
+// TestCallsAreCompressedBetweenDomainsOnly: calls to an owner that does not advertise it, to one of
+// the own failure domain, and all of them while compression is not in force, stay as they are.
+func TestCallsAreCompressedBetweenDomainsOnly(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		setting     config.Compression
+		loadControl config.LoadControl
+		inForce     bool
+	}{
+		{config.CompressionAuto, config.LoadControlOn, true},
+		{config.CompressionAuto, config.LoadControlOff, false},
+		{config.CompressionAuto, config.LoadControlAuto, false}, // nothing to compete for
+		{config.CompressionOn, config.LoadControlOff, true},
+		{config.CompressionOff, config.LoadControlOn, false},
+	} {
+		params := table.DefaultParams()
+		params.Compression, params.LoadControl = c.setting, c.loadControl
+		w := table.New(wire.Member{ID: "vm", Owner: "here", Domain: "d", Compress: true}, params, suspect.NewTable(time.Now), now, 1)
+		for _, m := range []wire.Member{
+			{ID: "near", Owner: "10.0.0.1:80", Domain: "d", Compress: true},
+			{ID: "far", Owner: "10.0.0.2:80", Domain: "e", Compress: true},
+			{ID: "old", Owner: "10.0.0.3:80", Domain: "e"},
+		} {
+			m.Upstreams = []wire.Upstream{{ID: m.ID + "/u", Service: "s", Slots: 4}}
+			w.Members[m.ID] = &table.Member{Member: m, RenewedAt: now}
+		}
+		w.MembersChanged()
+		content := config.NewContent()
+		content.Services["s"] = config.Service{Name: "s"}
+		state, err := config.Document{Version: 5, Content: content}.State()
+		is.NoErr(err)
+		w.Config.State = state
+		v := Build(w, nil)
+		is.Equal(v.Compress, c.inForce)
+		is.Equal(len(v.Services["s"].Upstreams), 3)
+		for _, u := range v.Services["s"].Upstreams {
+			is.Equal(u.Compress, c.inForce && u.Daemon == "far")
+		}
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -40,6 +40,8 @@
 	// LinkMbps is the bandwidth of the VM's network link, in Mbit/s. Zero: unknown, or
 	// high enough not to matter.
 	LinkMbps float64 `json:"link,omitempty"`
+	// Compress is set if the daemon accepts compressed connections at Owner.
+	Compress bool `json:"z,omitempty"`
 	// Incarnation increases with every start of the daemon.
 	Incarnation uint64     `json:"inc"`
 	Seq         uint64     `json:"seq"`
