--- a/internal/agent/fleet_test.go
+++ b/internal/agent/fleet_test.go
@@ -35,6 +35,8 @@
 	log    *devlog.Log
 	agents []*agent.Agent
 	tune   func(*settings.Settings)
+	// logger is that of all daemons; its zero value discards lines.
+	logger zerolog.Logger
 }
 
 // startFleet starts n daemons and waits until each knows all others. The function tune may
@@ -83,7 +85,7 @@
 	if f.tune != nil {
 		f.tune(&s)
 	}
-	a, err := agent.New(s, agent.Options{Log: f.log, Logger: zerolog.Nop(), Dialect: callpath.DefaultDialect()})
+	a, err := agent.New(s, agent.Options{Log: f.log, Logger: f.logger, Dialect: callpath.DefaultDialect()})
 	if err != nil {
 		f.t.Fatal(err)
 	}
