--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -177,6 +177,8 @@
 		return &invalidSetting{"calls.load_control", "must be auto, on or off"}
 	case slices.ContainsFunc(s.Calls.LoadControlOff, func(p config.LoadControlPart) bool { return !p.Valid() }):
 		return &invalidSetting{"calls.load_control_off", fmt.Sprintf("must be a list of parts of load control: %s", config.LoadControlParts)}
+	case !s.Calls.Compress.Valid():
+		return &invalidSetting{"calls.compress", "must be auto, on or off"}
 	case s.GCPercent < 10 || s.GCPercent > 10_000:
 		return &invalidSetting{"gc_percent", "must be between 10 and 10000"}
 	case s.MaxEvents < 16:
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -63,6 +63,8 @@
 	LoadControl config.LoadControl
 	// LoadControlOff are the parts of load control that are never in force.
 	LoadControlOff []config.LoadControlPart
+	// Compression says when calls to other failure domains are compressed.
+	Compression config.Compression
 	// Seeds are the addresses of daemons through which the others are found.
 	Seeds []string
 }
@@ -87,6 +89,7 @@
 		InForce:            15 * time.Second,
 		Exposure:           0.1,
 		LoadControl:        config.LoadControlAuto,
+		Compression:        config.CompressionAuto,
 	}
 }
 
