--- a/internal/callpath/compress_test.go
+++ b/internal/callpath/compress_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
@@ -119,9 +120,9 @@
 	is := is.New(t)
 	r := newRig(t, 1, 4, 0)
 	for _, c := range []struct {
-		state State
+		state ledger.State
 		want  outcome.Kind
-	}{{Started, outcome.Unknown}, {Voided, outcome.NotRun}} {
+	}{{ledger.Started, outcome.Unknown}, {ledger.Voided, outcome.NotRun}} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		go func() {
