Calls leave a failure domain that refuses them for one that has room

Cause: under load control a byte to another failure domain cost eight times as much, wherever it went, and a daemon knew one refusal rate for a whole service. Where demand peaks in one domain at a time, calls were refused there beside free slots elsewhere. Change: refusal rates by failure domain; the factor falls to 1 the more owners refuse here and the fewer there; each refusal of a call halves the chance that its domain has room.

--- a/internal/callpath/fleet_load_test.go
+++ b/internal/callpath/fleet_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -21,6 +22,10 @@
 	// The calls are peakTimes as many from peakFrom to peakUntil after the start.
 	peakFrom, peakUntil time.Duration
 	peakTimes           float64
+	// swing is the amplitude with which demand oscillates around its mean, with swingPeriod;
+	// failure domains have their peaks one after the other. Zero: it is constant.
+	swing       float64
+	swingPeriod time.Duration
 	// impatient callers retry at once, and three times as often.
 	impatient bool
 }
@@ -61,9 +66,13 @@
 	return retryAfter
 }
 
-// peakFactor returns how many times as many calls as usual are sent now.
-func (s *fleetSim) peakFactor() float64 {
+// peakFactor returns how many times as many calls as usual enter at a VM now.
+func (s *fleetSim) peakFactor(vm *simVM) float64 {
 	l, at := &s.load.simLoadControl, s.elapsed(s.now)
+	if l.swing > 0 {
+		phase := float64(at)/float64(l.swingPeriod) + float64(vm.domainIndex)/float64(s.load.domains)
+		return 1 + l.swing*math.Sin(2*math.Pi*phase)
+	}
 	if at >= l.peakFrom && at < l.peakUntil {
 		return l.peakTimes
 	}
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -51,14 +51,16 @@
 
 // simVM is a VM with its daemon and one upstream.
 type simVM struct {
-	id       string
-	service  string
-	domain   string
-	speed    float64
-	ingress  *Ingress
-	gate     *admission.Gate
-	services map[string]*view.Service
-	waiting  []*simWait
+	id      string
+	service string
+	domain  string
+	// domainIndex is the number of the failure domain.
+	domainIndex int
+	speed       float64
+	ingress     *Ingress
+	gate        *admission.Gate
+	services    map[string]*view.Service
+	waiting     []*simWait
 	simUpstream
 	simRateLimit
 	simPace
@@ -233,7 +235,7 @@
 	m := NewMetrics(metrics.NewRegistry())
 	large := int(math.Round(load.largeShare * float64(n)))
 	for i := range n {
-		vm := &simVM{id: fmt.Sprintf("vm-%d", i), service: "large", domain: fmt.Sprintf("d%d", i%load.domains), speed: load.speeds[s.rng.IntN(len(load.speeds))]}
+		vm := &simVM{id: fmt.Sprintf("vm-%d", i), service: "large", domain: fmt.Sprintf("d%d", i%load.domains), domainIndex: i % load.domains, speed: load.speeds[s.rng.IntN(len(load.speeds))]}
 		if i >= large {
 			vm.service = "small"
 		}
@@ -280,7 +282,7 @@
 	if k.ratePerVM == 0 {
 		return
 	}
-	s.after(time.Duration(s.rng.ExpFloat64()/(k.ratePerVM*s.peakFactor())*float64(time.Second)), func() {
+	s.after(time.Duration(s.rng.ExpFloat64()/(k.ratePerVM*s.peakFactor(vm))*float64(time.Second)), func() {
 		k.sent++
 		s.second(k, s.now).sent++
 		s.sendCall(&simCall{kind: k, vm: vm, firstSent: s.now, deadline: s.now.Add(k.deadline), path: s.newPath(k)})
@@ -363,7 +365,7 @@
 		done(t.Exhausted(refusal))
 		return
 	}
-	u, refusal, ok := in.next(c, t.Upstreams())
+	u, refusal, ok := in.next(c, t)
 	if !ok {
 		done(t.Exhausted(refusal))
 		return
@@ -384,7 +386,7 @@
 				}
 				in.picker.Observe(u, in.rankUrgency(&c.attempt), r)
 				in.picker.Finished(u)
-				t.Add(u.ID, r)
+				t.Add(u.ID, u.Domain, r)
 				if !in.mayRetry(c, t) {
 					done(t.Best())
 					return
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -31,13 +31,13 @@
 			in.cfg.Metrics.Quarantined.Inc(1)
 			return t.Exhausted(refusal)
 		}
-		u, refusal, ok := in.next(c, t.Upstreams())
+		u, refusal, ok := in.next(c, &t)
 		if !ok {
 			return t.Exhausted(refusal)
 		}
 		c.attempt.Repeated = c.attempt.Repeated || t.Reached()
 		c.attempt.Retry = len(t.Upstreams()) > 0
-		t.Add(u.ID, in.try(ctx, c, u))
+		t.Add(u.ID, u.Domain, in.try(ctx, c, u))
 		if ctx.Err() != nil || in.callsCtx.Err() != nil || !in.mayRetry(c, &t) {
 			return t.Best()
 		}
@@ -53,15 +53,15 @@
 // next returns the upstream for the next attempt. A call with an idempotency key goes to
 // the upstream that the hash of the key selects, whichever daemon it enters at, so that
 // the owner of that upstream sees every copy.
-func (in *Ingress) next(c *call, tried []string) (view.Upstream, outcome.Result, bool) {
+func (in *Ingress) next(c *call, t *retry.Attempts) (view.Upstream, outcome.Result, bool) {
 	if c.attempt.IdempotencyKey == "" {
-		criteria := in.criteria(c, tried)
+		criteria := in.criteria(c, t)
 		if crashCount(in.cfg.Suspects, &c.attempt) > 0 {
 			criteria.AffinityKey = c.attempt.digest().String()
 		}
 		return in.pick(c, criteria)
 	}
-	if len(tried) > 0 {
+	if len(t.Upstreams()) > 0 {
 		// The owner of another upstream would not know of the copies sent to the first.
 		return view.Upstream{}, outcome.Refuse(outcome.ReasonOverload, outcome.MinRetryAfter), false
 	}
@@ -70,7 +70,7 @@
 		return view.Upstream{}, outcome.Refuse(outcome.ReasonNoUpstream, pick.DefaultRetryAfter), false
 	}
 	only := &view.Service{Service: c.service.Service, Upstreams: []view.Upstream{*target}}
-	return in.picker.Pick(only, in.criteria(c, nil))
+	return in.picker.Pick(only, in.criteria(c, t))
 }
 
 // pick selects an upstream from the part of the service that this call goes to during a
@@ -120,13 +120,14 @@
 
 // criteria returns what the attempt requires of an upstream, estimated from recent calls
 // of its route. It also sets the attempt's TypicalLatency and AnswerBytes.
-func (in *Ingress) criteria(c *call, tried []string) pick.Criteria {
+func (in *Ingress) criteria(c *call, t *retry.Attempts) pick.Criteria {
 	objective := objectiveOf(c.route.Policy)
 	criteria := pick.Criteria{
 		Urgency:   in.rankUrgency(&c.attempt),
 		Objective: objective,
 		Body:      len(c.attempt.Body),
-		Tried:     tried,
+		Tried:     t.Upstreams(),
+		RefusedIn: t.RefusedIn(),
 	}
 	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
 	c.attempt.TypicalLatency = criteria.TypicalLatency
--- a/internal/callpath/ownerruns_test.go
+++ b/internal/callpath/ownerruns_test.go
@@ -161,7 +161,7 @@
 	r.ingress.retries.Earn(r.ingress.retryCall(c))
 	mayRetry := func(refusal outcome.Result) bool {
 		t := &retry.Attempts{}
-		t.Add("a", refusal)
+		t.Add("a", "d", refusal)
 		return r.ingress.mayRetry(c, t)
 	}
 	is.True(mayRetry(late)) // without load control
@@ -187,7 +187,7 @@
 	r.ingress.retries.Earn(r.ingress.retryCall(&nested))
 	mayRetry := func(c *call) bool {
 		t := &retry.Attempts{}
-		t.Add("w0", outcome.Refuse(outcome.ReasonOverload, 0))
+		t.Add("w0", "d", outcome.Refuse(outcome.ReasonOverload, 0))
 		return r.ingress.mayRetry(c, t)
 	}
 	for range 100 { // twice the budget of a service
@@ -199,9 +199,9 @@
 		mayRetry(direct)
 	}
 	is.True(!mayRetry(direct))
-	_, _, ok := r.ingress.next(direct, nil)
+	_, _, ok := r.ingress.next(direct, &retry.Attempts{})
 	is.True(!ok)
-	_, _, ok = r.ingress.next(&nested, nil)
+	_, _, ok = r.ingress.next(&nested, &retry.Attempts{})
 	is.True(ok)
 	is.True(mayRetry(&nested))
 }
--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -22,7 +22,7 @@
 	objectiveFraction := expected / float64(max(c.Objective, time.Millisecond))
 	late := objectiveFraction * objectiveFraction * objectiveFraction
 	st := p.stats[u.ID]
-	cost := late/(1+late) + objectiveTimeCost*objectiveFraction + p.refusalCostOf(u.Service, st, c.Urgency, now)
+	cost := late/(1+late) + objectiveTimeCost*objectiveFraction + p.refusalCostOf(u, st, c, now)
 	if st != nil {
 		cost += errorCost * st.errorRate * st.errorRate
 	}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -29,6 +29,9 @@
 	// Tried are the IDs of the upstreams that were tried for this call before. They are
 	// not picked again.
 	Tried []string
+	// RefusedIn are the failure domains of the owners that refused this call for want of
+	// room, one entry for each.
+	RefusedIn []string
 }
 
 const (
@@ -131,7 +134,7 @@
 		if cost > maxCrossDomainCost && p.domainReachable(groups) {
 			continue
 		}
-		consider(u, hopCost+cost*p.byteCostFactor)
+		consider(u, hopCost+cost*p.contentionFactor(u, c, now))
 	}
 	return best
 }
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -70,12 +70,11 @@
 	// byteCost is the cost of a byte between failure domains as a fraction of a call's
 	// worth.
 	byteCost float64
-	// byteCostFactor multiplies byteCost where the upstreams of several domains are compared.
-	// It does not count against maxCrossDomainCost.
-	byteCostFactor float64
-	now            func() time.Time
-	rand           *rand.Rand
-	stats          map[string]*stats
+	// contention is set while callers of all failure domains compete for the same resources.
+	contention bool
+	now        func() time.Time
+	rand       *rand.Rand
+	stats      map[string]*stats
 	// down holds the owners that this daemon cannot reach.
 	down map[string]bool
 	// linkBusyAt is when an owner last reported that responses wait for its link, by owner.
@@ -84,8 +83,8 @@
 	// groups and means cache what is derived from a service's upstreams, by service name.
 	groups map[string]*localityGroups
 	means  map[string]cachedMeans
-	// refusals holds the refusal rates over all owners, by service.
-	refusals   map[string]*refusalRates
+	// refusals holds the refusal rates of owners, by service.
+	refusals   map[string]*serviceRefusals
 	nextExpiry time.Time
 }
 
@@ -93,24 +92,9 @@
 // between failure domains as a fraction of a call's worth.
 func New(domain string, byteCost float64, now func() time.Time, seed uint64) *Picker {
 	return &Picker{
-		domain: domain, byteCost: byteCost, byteCostFactor: 1, now: now, rand: rand.New(rand.NewPCG(seed, seed)),
+		domain: domain, byteCost: byteCost, now: now, rand: rand.New(rand.NewPCG(seed, seed)),
 		stats: map[string]*stats{}, down: map[string]bool{}, linkBusyAt: map[string]time.Time{}, routes: routeTable{},
-		groups: map[string]*localityGroups{}, means: map[string]cachedMeans{}, refusals: map[string]*refusalRates{},
-	}
-}
-
-// contentionByteCostFactor multiplies the cost of bytes between failure domains while callers
-// of all domains compete for the same resources. The other domains are then as busy as this
-// one, so that a call that leaves its domain displaces a call there.
-const contentionByteCostFactor = 8
-
-// SetContention sets whether callers of all failure domains compete for the same resources.
-func (p *Picker) SetContention(contention bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.byteCostFactor = 1
-	if contention {
-		p.byteCostFactor = contentionByteCostFactor
+		groups: map[string]*localityGroups{}, means: map[string]cachedMeans{}, refusals: map[string]*serviceRefusals{},
 	}
 }
 
@@ -138,7 +122,7 @@
 		st.rateLimit = r.RateLimit
 		p.recordLink(&u, r.Load.Egress)
 	}
-	p.recordRefusal(u.Service, st, urgency, r, p.now())
+	p.recordRefusal(&u, st, urgency, r, p.now())
 	switch {
 	case r.RefusedAsSuspect():
 		// The result depends on the request, not on the upstream.
--- a/internal/pick/refusals.go
+++ b/internal/pick/refusals.go
@@ -6,6 +6,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/view"
 )
 
 const (
@@ -15,11 +16,13 @@
 	// reason to leave the failure domain.
 	refusalCost = 1
 	// ownerRefusalWeight is the weight of the newest attempt in an owner's refusal rate,
-	// serviceRefusalWeight in that of all owners of a service.
+	// domainRefusalWeight in that of a service's owners in a failure domain, and
+	// serviceRefusalWeight in that of all its owners.
 	ownerRefusalWeight   = 0.3
+	domainRefusalWeight  = 0.05
 	serviceRefusalWeight = 0.02
-	// refusalDecayTime is the time constant with which an owner's refusal rate decays
-	// towards the rate of all owners of its service.
+	// refusalDecayTime is the time constant with which the refusal rate of an owner or of a
+	// failure domain decays towards the rate of all owners of the service.
 	refusalDecayTime = 2 * time.Second
 )
 
@@ -59,40 +62,101 @@
 	return math.Exp(-float64(now.Sub(r.updatedAt)) / float64(refusalDecayTime))
 }
 
-// recordRefusal records whether an attempt was refused, for its upstream and for its
-// service.
-func (p *Picker) recordRefusal(service string, st *stats, urgency config.Urgency, r outcome.Result, now time.Time) {
-	all := p.refusals[service]
-	if all == nil {
-		all = &refusalRates{}
-		p.refusals[service] = all
+// decayed returns the rate for an urgency, as decayed towards that of all owners.
+func (r *refusalRates) decayed(all *refusalRates, urgency config.Urgency, now time.Time) float64 {
+	mean := all.byUrgency[urgency]
+	return mean + r.remainingWeight(now)*(r.byUrgency[urgency]-mean)
+}
+
+// decay applies the decay towards the rates of all owners.
+func (r *refusalRates) decay(all *refusalRates, now time.Time) {
+	for u := range r.byUrgency {
+		r.byUrgency[u] = r.decayed(all, config.Urgency(u), now)
 	}
-	weight := st.refusals.remainingWeight(now)
-	for u, refused := range st.refusals.byUrgency {
-		st.refusals.byUrgency[u] = all.byUrgency[u] + weight*(refused-all.byUrgency[u])
+}
+
+// serviceRefusals holds the refusal rates of a service's owners.
+type serviceRefusals struct {
+	all      refusalRates
+	byDomain map[string]*refusalRates
+}
+
+func (p *Picker) refusalsOf(service string) *serviceRefusals {
+	s := p.refusals[service]
+	if s == nil {
+		s = &serviceRefusals{byDomain: map[string]*refusalRates{}}
+		p.refusals[service] = s
+	}
+	return s
+}
+
+// domainRate returns the rate of a failure domain.
+func (s *serviceRefusals) domainRate(domain string, urgency config.Urgency, now time.Time) float64 {
+	r := s.byDomain[domain]
+	if r == nil {
+		return s.all.byUrgency[urgency]
+	}
+	return r.decayed(&s.all, urgency, now)
+}
+
+// recordRefusal records whether an attempt was refused, for its upstream, for its failure
+// domain and for its service.
+func (p *Picker) recordRefusal(u *view.Upstream, st *stats, urgency config.Urgency, r outcome.Result, now time.Time) {
+	s := p.refusalsOf(u.Service)
+	domain := s.byDomain[u.Domain]
+	if domain == nil {
+		domain = &refusalRates{}
+		s.byDomain[u.Domain] = domain
 	}
+	st.refusals.decay(&s.all, now)
+	domain.decay(&s.all, now)
 	st.refusals.record(urgency, r, ownerRefusalWeight, now)
-	all.record(urgency, r, serviceRefusalWeight, now)
+	domain.record(urgency, r, domainRefusalWeight, now)
+	s.all.record(urgency, r, serviceRefusalWeight, now)
 }
 
 // refusalRate returns the estimated fraction of the calls of an urgency that an owner
-// refuses. An owner without recent calls counts like the mean of its service; otherwise a
-// daemon in a fleet of hundreds would send its calls to the owners that it knows nothing
-// about.
-func (p *Picker) refusalRate(service string, st *stats, urgency config.Urgency, now time.Time) float64 {
-	all := p.refusals[service]
-	switch {
-	case all == nil:
+// refuses. An owner without recent calls counts like the mean of its service, or under
+// contention of its failure domain; otherwise a daemon in a fleet of hundreds would send its
+// calls to the owners that it knows nothing about.
+func (p *Picker) refusalRate(u *view.Upstream, st *stats, urgency config.Urgency, now time.Time) float64 {
+	s := p.refusals[u.Service]
+	if s == nil {
 		return 0
-	case st == nil:
-		return all.byUrgency[urgency]
 	}
-	weight := st.refusals.remainingWeight(now)
-	return all.byUrgency[urgency] + weight*(st.refusals.byUrgency[urgency]-all.byUrgency[urgency])
+	mean := s.all.byUrgency[urgency]
+	if p.contention {
+		mean = s.domainRate(u.Domain, urgency, now)
+	}
+	if st == nil {
+		return mean
+	}
+	return mean + st.refusals.remainingWeight(now)*(st.refusals.byUrgency[urgency]-mean)
 }
 
 // refusalCostOf is the cost of the chance of a refusal, as a fraction of a call's worth.
-func (p *Picker) refusalCostOf(service string, st *stats, urgency config.Urgency, now time.Time) float64 {
-	refused := p.refusalRate(service, st, urgency, now)
+func (p *Picker) refusalCostOf(u *view.Upstream, st *stats, c Criteria, now time.Time) float64 {
+	refused := p.refusalRate(u, st, c.Urgency, now)
+	if p.contention {
+		refused = afterRefusals(refused, c.refusalsIn(u.Domain))
+	}
 	return refusalCost * refused * refused
 }
+
+// afterRefusals returns the chance that an owner refuses a call which n other owners of its
+// failure domain have refused: each refusal halves the chance that there is room, since the
+// owners of a domain share its demand.
+func afterRefusals(refused float64, n int) float64 {
+	return 1 - math.Ldexp(1-refused, -n)
+}
+
+// refusalsIn returns how many owners of a failure domain have refused the call.
+func (c Criteria) refusalsIn(domain string) int {
+	n := 0
+	for _, d := range c.RefusedIn {
+		if d == domain {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/pick/refusals_test.go
+++ b/internal/pick/refusals_test.go
@@ -58,13 +58,13 @@
 	for range 20 {
 		p.Observe(full, config.Normal, outcome.Refuse(outcome.ReasonOverload, time.Millisecond))
 	}
-	is.True(p.refusalRate("s", p.stats["a"], config.Normal, now) > 0.9)
-	is.True(p.refusalRate("s", p.stats["a"], config.Background, now) > 0.9)
-	is.Equal(p.refusalRate("s", p.stats["a"], config.Critical, now), 0.0) // more urgent calls may be accepted
+	is.True(p.refusalRate(&view.Upstream{Service: "s"}, p.stats["a"], config.Normal, now) > 0.9)
+	is.True(p.refusalRate(&view.Upstream{Service: "s"}, p.stats["a"], config.Background, now) > 0.9)
+	is.Equal(p.refusalRate(&view.Upstream{Service: "s"}, p.stats["a"], config.Critical, now), 0.0) // more urgent calls may be accepted
 	for range 200 {
 		p.Observe(other, config.Normal, answered)
 	}
 	now = now.Add(4 * refusalDecayTime)
-	is.True(p.refusalRate("s", p.stats["a"], config.Normal, now) < 0.05)
-	is.True(p.refusalRate("s", nil, config.Normal, now) < 0.05) // an upstream without statistics
+	is.True(p.refusalRate(&view.Upstream{Service: "s"}, p.stats["a"], config.Normal, now) < 0.05)
+	is.True(p.refusalRate(&view.Upstream{Service: "s"}, nil, config.Normal, now) < 0.05) // an upstream without statistics
 }
--- a/internal/retry/attempts.go
+++ b/internal/retry/attempts.go
@@ -13,7 +13,9 @@
 	// number of those that an owner had no room for.
 	reached int
 	refused int
-	last    outcome.Result
+	// refusedIn are the failure domains of the owners that had no room.
+	refusedIn []string
+	last      outcome.Result
 	// answer is the response of an upstream that failed, kept in case no attempt does
 	// better.
 	answer *outcome.Result
@@ -21,15 +23,16 @@
 	unknown *outcome.Result
 }
 
-// Add records the result of an attempt at an upstream. It closes the body of an earlier answer
+// Add records the result of an attempt at an upstream of a failure domain. It closes the body of an earlier answer
 // that the new one replaces.
-func (t *Attempts) Add(upstream string, r outcome.Result) {
+func (t *Attempts) Add(upstream, domain string, r outcome.Result) {
 	t.upstreams = append(t.upstreams, upstream)
 	if r.Reached() {
 		t.reached++
 	}
 	if r.RefusedForCapacity() {
 		t.refused++
+		t.refusedIn = append(t.refusedIn, domain)
 	}
 	if t.answer != nil && r.Outcome == outcome.Answered {
 		t.answer.Body.Close()
@@ -47,6 +50,10 @@
 // Upstreams returns the IDs of the upstreams tried so far.
 func (t *Attempts) Upstreams() []string { return t.upstreams }
 
+// RefusedIn returns the failure domains of the owners that had no room for the call, one entry
+// for each.
+func (t *Attempts) RefusedIn() []string { return t.refusedIn }
+
 // Reached reports whether an upstream may have received one of the attempts.
 func (t *Attempts) Reached() bool { return t.reached > 0 }
 
--- a/internal/retry/attempts_test.go
+++ b/internal/retry/attempts_test.go
@@ -28,10 +28,10 @@
 func TestExhaustedCallNamesTheResourceOfItsLastRefusal(t *testing.T) {
 	is := is.New(t)
 	var calls Attempts
-	calls.Add("a0", outcome.Refuse(outcome.ReasonLink, 60*time.Millisecond))
+	calls.Add("a0", "d", outcome.Refuse(outcome.ReasonLink, 60*time.Millisecond))
 	is.Equal(calls.Exhausted(outcome.Refuse(outcome.ReasonOverload, time.Second)).Reason, outcome.ReasonLink)
 	is.Equal(calls.Exhausted(outcome.Refuse(outcome.ReasonNoUpstream, time.Second)).Reason, outcome.ReasonNoUpstream)
-	calls.Add("a1", outcome.Refuse(outcome.ReasonDraining, 0))
+	calls.Add("a1", "d", outcome.Refuse(outcome.ReasonDraining, 0))
 	is.Equal(calls.Exhausted(outcome.Refuse(outcome.ReasonOverload, time.Second)).Reason, outcome.ReasonOverload)
 }
 
@@ -41,14 +41,14 @@
 func TestRefusalAfterAnUnknownAttemptStaysUnknown(t *testing.T) {
 	is := is.New(t)
 	var calls Attempts
-	calls.Add("a0", outcome.MayHaveRun(outcome.ReasonCrashed, nil))
-	calls.Add("a1", outcome.Refuse(outcome.ReasonOverload, 60*time.Millisecond))
+	calls.Add("a0", "d", outcome.MayHaveRun(outcome.ReasonCrashed, nil))
+	calls.Add("a1", "d", outcome.Refuse(outcome.ReasonOverload, 60*time.Millisecond))
 	for _, r := range []outcome.Result{calls.Best(), calls.Exhausted(outcome.Refuse(outcome.ReasonQuarantined, 0))} {
 		is.Equal(r.Outcome, outcome.Unknown)
 		is.Equal(r.Reason, outcome.ReasonCrashed)
 		is.Equal(r.RetryAfter, 60*time.Millisecond) // as the last owner gave
 	}
 	answer := outcome.Result{Outcome: outcome.Answered, Body: http.NoBody}
-	calls.Add("a2", answer)
+	calls.Add("a2", "d", answer)
 	is.Equal(calls.Best().Outcome, outcome.Answered)
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -27,7 +27,7 @@
 func after(results ...outcome.Result) *Attempts {
 	var t Attempts
 	for i, r := range results {
-		t.Add(string(rune('a'+i)), r)
+		t.Add(string(rune('a'+i)), "d", r)
 	}
 	return &t
 }
@@ -86,7 +86,7 @@
 	p := newTestPolicy(c)
 	var a Attempts
 	for n := 1; n <= maxOwners; n++ {
-		a.Add("u", outcome.Refuse(outcome.ReasonDraining, 0))
+		a.Add("u", "d", outcome.Refuse(outcome.ReasonDraining, 0))
 		is.Equal(p.Decide(c, &a).Retry, n < maxOwners)
 	}
 }
