compress: checksum covers the deflated bytes too

Cause: TestDamageNeverYieldsOtherBytes flipped a padding bit in the last byte of a deflated payload: the data were unchanged, but the damage went unnoticed.

Change: the checksum of a frame covers its deflated payload besides its data.

--- a/internal/compress/reader.go
+++ b/internal/compress/reader.go
@@ -206,6 +206,8 @@
 		copy(data.b, packed)
 	} else if data, err = inflate(packed, &r.history); err != nil {
 		return nil, err
+	} else {
+		r.sum = crc32.Update(r.sum, castagnoli, packed)
 	}
 	r.sum = crc32.Update(r.sum, castagnoli, data.b)
 	if r.sum != sum {
--- a/internal/compress/writer.go
+++ b/internal/compress/writer.go
@@ -124,6 +124,8 @@
 	}
 	f.buf = appendHead(f.buf[:start], typeDeflated, len(deflated))
 	f.buf = append(f.buf, deflated...)
+	// The last byte of the deflated data has bits that do not affect the data.
+	w.sum = crc32.Update(w.sum, castagnoli, f.buf[len(f.buf)-len(deflated):])
 	w.appendChecksum(f, data)
 	return true
 }
