--- a/internal/compress/compress.go
+++ b/internal/compress/compress.go
@@ -4,8 +4,8 @@
 //
 // The end that opens the connection sends a preface. A frame is one byte of type, the length of
 // the payload as an unsigned varint, and the payload: the data, as it is or deflated, followed by
-// the CRC-32C of all payloads and data of the direction so far. Without the checksum, damage to a frame could
-// yield bytes that were not sent.
+// the CRC-32C of all payloads and data of the direction so far. Without the checksum, damage to a
+// frame could yield bytes that were not sent.
 package compress
 
 import (
