--- a/internal/callpath/callerconn.go
+++ b/internal/callpath/callerconn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"github.com/comfreygate/comfreygate/internal/tcp"
 )
 
 // connKey is the context key of the connection on which a request arrived.
@@ -22,5 +24,5 @@
 		return true
 	}
 	c, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && closedByPeer(c)
+	return ok && tcp.ClosedByPeer(c)
 }
--- a/internal/callpath/callerconn_test.go
+++ b/internal/callpath/callerconn_test.go
@@ -13,6 +13,7 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/tcp"
 )
 
 // connPair returns the two ends of a TCP connection.
@@ -59,7 +60,7 @@
 	served.Body.Close() // releases the slot
 	disconnected, serverEnd := connPair(t)
 	disconnected.Close()
-	for !closedByPeer(serverEnd) { // until the kernel has processed the close
+	for !tcp.ClosedByPeer(serverEnd) { // until the kernel has processed the close
 		time.Sleep(time.Millisecond)
 	}
 	refused := w.owner.execute(WithConn(context.Background(), serverEnd), attempt("gone"))
@@ -67,6 +68,6 @@
 	is.Equal(refused.Reason, outcome.ReasonCancelled)
 	is.Equal(w.runs.Load(), int64(1))
 	is.Equal(w.owner.ledger.State("gone"), ledger.Voided)
-	is.True(!closedByPeer(server)) // although another goroutine is reading from it
+	is.True(!tcp.ClosedByPeer(server)) // although another goroutine is reading from it
 	client.Close()
 }
--- a/internal/callpath/compress_test.go
+++ b/internal/callpath/compress_test.go
@@ -18,6 +18,7 @@
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/tcp"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -153,24 +154,24 @@
 	is.NoErr(err)
 	defer ln.Close()
 	accepting := compress.Listener(ln)
-	tcp, err := net.Dial("tcp", ln.Addr().String())
+	raw, err := net.Dial("tcp", ln.Addr().String())
 	is.NoErr(err)
-	defer tcp.Close()
-	client := compress.Conn(tcp, nil)
+	defer raw.Close()
+	client := compress.Conn(raw, nil)
 	server, err := accepting.Accept()
 	is.NoErr(err)
 	defer server.Close()
-	is.NoErr(setUnackedTimeout(client, time.Second))
+	is.NoErr(tcp.SetUnackedTimeout(client, time.Second))
 	_, err = client.Write([]byte("request"))
 	is.NoErr(err)
 	_, err = io.ReadFull(server, make([]byte, len("request")))
 	is.NoErr(err)
 	ctx := WithConn(context.Background(), server)
 	is.True(!callerDisconnected(ctx))
-	is.True(stillOpen(client))
+	is.True(tcp.StillOpen(client))
 	_, err = server.Write([]byte("unexpected"))
 	is.NoErr(err)
-	eventually(t, func() bool { return !stillOpen(client) })
+	eventually(t, func() bool { return !tcp.StillOpen(client) })
 	is.NoErr(client.CloseWrite())
 	eventually(t, func() bool { return callerDisconnected(ctx) })
 }
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -15,6 +15,7 @@
 	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/tcp"
 )
 
 // pool sends requests over pooled connections to one address, one request at a time on
@@ -222,7 +223,7 @@
 		}
 	}
 	for c := p.pop(); c != nil; c = p.pop() {
-		if time.Since(c.idleSince) < p.idleTimeout && stillOpen(c.Conn) {
+		if time.Since(c.idleSince) < p.idleTimeout && tcp.StillOpen(c.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -232,7 +233,7 @@
 		p.returnToken()
 		return nil, err
 	}
-	if err := setUnackedTimeout(conn, p.unackedTimeout); err != nil {
+	if err := tcp.SetUnackedTimeout(conn, p.unackedTimeout); err != nil {
 		conn.Close()
 		p.returnToken()
 		return nil, errors.Wrap(err, "set timeout for unacknowledged bytes")
--- a/internal/callpath/unsent_test.go
+++ b/internal/callpath/unsent_test.go
@@ -20,6 +20,7 @@
 	"github.com/comfreygate/comfreygate/internal/ledger"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
+	"github.com/comfreygate/comfreygate/internal/tcp"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -46,7 +47,7 @@
 	client, server := connPair(t)
 	return WithConn(context.Background(), server), func() {
 		client.Close()
-		for !closedByPeer(server) { // the close takes a moment to arrive
+		for !tcp.ClosedByPeer(server) { // the close takes a moment to arrive
 			time.Sleep(time.Millisecond)
 		}
 	}
--- a/internal/callpath/pool_linux.go
+++ b/internal/tcp/tcp_linux.go
@@ -1,4 +1,6 @@
-package callpath
+// Package tcp examines and configures TCP connections by their sockets, where the net package
+// offers no such function.
+package tcp
 
 import (
 	"net"
@@ -8,9 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// stillOpen reports, without waiting, whether an idle connection can be reused: the other
+// StillOpen reports, without waiting, whether an idle connection can be reused: the other
 // end has not closed it, and it holds no unexpected bytes.
-func stillOpen(c net.Conn) bool {
+func StillOpen(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
@@ -29,10 +31,10 @@
 	return err == nil && open
 }
 
-// setUnackedTimeout makes the system close a connection on which sent bytes stay
+// SetUnackedTimeout makes the system close a connection on which sent bytes stay
 // unacknowledged for longer than timeout. Zero keeps the system's default. See tcp(7),
 // TCP_USER_TIMEOUT.
-func setUnackedTimeout(c net.Conn, timeout time.Duration) error {
+func SetUnackedTimeout(c net.Conn, timeout time.Duration) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok || timeout == 0 {
 		return nil
@@ -50,3 +52,24 @@
 	}
 	return setErr
 }
+
+// ClosedByPeer reports, without waiting, whether the other end has closed a connection on
+// which no unread bytes are left. It only peeks, so another goroutine may be reading from
+// the connection.
+func ClosedByPeer(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = (n == 0 && err == nil) || err == unix.ECONNRESET
+	})
+	return err == nil && closed
+}
