Metrics of attempts that leave the failure domain

Cause: an operator could not see whether calls leave their failure domain, nor whether the others have room for them. Change: counters calls.other_domain and calls.other_domain_refused.

--- a/internal/callpath/crossdomain_test.go
+++ b/internal/callpath/crossdomain_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
+	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -55,8 +56,13 @@
 		counted["calls"] = 0
 		is.Equal(counted, none)
 	}
+	is.Equal(r.metrics.OtherDomain.Count(), int64(3))
+	is.Equal(r.metrics.OtherDomainRefused.Count(), int64(0))
 	r.setDomain(0, "d")
 	is.Equal(send(), none)
+	is.Equal(r.metrics.OtherDomain.Count(), int64(3))
+	r.ingress.countOtherDomain(view.Upstream{Domain: "e"}, outcome.Refuse(outcome.ReasonOverload, 0))
+	is.Equal(r.metrics.OtherDomainRefused.Count(), int64(1))
 }
 
 // TestBytesOfRetriesAreCountedApart sends a call to two owners in another failure domain of which
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -149,6 +149,17 @@
 	return a.Urgency
 }
 
+// countOtherDomain counts an attempt if its upstream is in another failure domain.
+func (in *Ingress) countOtherDomain(u view.Upstream, r outcome.Result) {
+	if u.Domain == in.cfg.Domain {
+		return
+	}
+	in.cfg.Metrics.OtherDomain.Inc(1)
+	if r.RefusedForCapacity() {
+		in.cfg.Metrics.OtherDomainRefused.Inc(1)
+	}
+}
+
 // try makes one attempt at the upstream.
 func (in *Ingress) try(ctx context.Context, c *call, u view.Upstream) outcome.Result {
 	a := c.attempt
@@ -172,6 +183,7 @@
 		}
 	}
 	in.recordAttemptPressure(c, u, r)
+	in.countOtherDomain(u, r)
 	in.recordForRollout(c, u, r)
 	in.picker.Observe(u, in.rankUrgency(&a), r)
 	if r.Draining && in.picker.SetDraining(u) {
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -24,6 +24,10 @@
 	Retries          metrics.Counter
 	RetryDenied      metrics.Counter
 	RetriesFoundRoom metrics.Counter
+	// OtherDomain counts the attempts sent to other failure domains, OtherDomainRefused those
+	// that owners there refused for want of room.
+	OtherDomain        metrics.Counter
+	OtherDomainRefused metrics.Counter
 	// Voided counts attempts that were voided after their connection broke.
 	Voided metrics.Counter
 	// Silent counts connections that were given up because they delivered nothing.
@@ -88,24 +92,28 @@
 		RetryDenied:      counter("retries_denied"),
 		RetriesFoundRoom: counter("retries_found_room"),
 		Voided:           counter("voided"),
-		Silent:           counter("silent"),
-		Started:          counter("attempts_started"),
-		Sent:             counter("attempts_sent"),
-		Refused:          counter("attempts_refused"),
-		CrashedAttempts:  counter("upstream_ended"),
-		Quarantined:      counter("quarantined"),
-		OverLimit:        counter("over_limit"),
-		UnknownKey:       counter("unknown_key"),
-		Stale:            counter("configuration_stale"),
-		RateLimit:        metrics.GetOrRegisterGaugeFloat64("upstreams.rate_limit", r),
-		UpstreamCrashes:  metrics.GetOrRegisterCounter("upstreams.ended", r),
-		StarvedRuns:      metrics.GetOrRegisterCounter("runs.starved", r),
-		RefusedRuns:      metrics.GetOrRegisterCounter("runs.refused", r),
-		EgressSent:       metrics.GetOrRegisterCounter("egress.sent_bytes", r),
-		EgressRefused:    metrics.GetOrRegisterCounter("egress.refused", r),
-		Latency:          metrics.GetOrRegisterTimer("calls.latency", r),
-		CrossDomain:      crossdomain.NewCounters(r),
-		Compress:         compress.NewMetrics(r),
+
+		OtherDomain:        counter("other_domain"),
+		OtherDomainRefused: counter("other_domain_refused"),
+
+		Silent:          counter("silent"),
+		Started:         counter("attempts_started"),
+		Sent:            counter("attempts_sent"),
+		Refused:         counter("attempts_refused"),
+		CrashedAttempts: counter("upstream_ended"),
+		Quarantined:     counter("quarantined"),
+		OverLimit:       counter("over_limit"),
+		UnknownKey:      counter("unknown_key"),
+		Stale:           counter("configuration_stale"),
+		RateLimit:       metrics.GetOrRegisterGaugeFloat64("upstreams.rate_limit", r),
+		UpstreamCrashes: metrics.GetOrRegisterCounter("upstreams.ended", r),
+		StarvedRuns:     metrics.GetOrRegisterCounter("runs.starved", r),
+		RefusedRuns:     metrics.GetOrRegisterCounter("runs.refused", r),
+		EgressSent:      metrics.GetOrRegisterCounter("egress.sent_bytes", r),
+		EgressRefused:   metrics.GetOrRegisterCounter("egress.refused", r),
+		Latency:         metrics.GetOrRegisterTimer("calls.latency", r),
+		CrossDomain:     crossdomain.NewCounters(r),
+		Compress:        compress.NewMetrics(r),
 	}
 	metrics.NewRegisteredFunctionalGauge("egress.waiting_us", r, m.egressWaitMicros)
 	m.AdmittedRuns = metrics.NewRegisteredFunctionalGaugeFloat64("runs.admitted_part", r, m.admittedRuns)
