Daemons with an unsettled role do not look for other partitions

Cause: in a slow start each daemon that ranks among the roots for want of members read the addresses on the log every few seconds.

Change: a connected daemon whose members still differ from those of its peers does not read the addresses. Once the members of a partition agree, its roots look for other partitions as before.

--- a/internal/system/discovery.go
+++ b/internal/system/discovery.go
@@ -91,6 +91,9 @@
 	if len(w.Links) > 0 && w.MembersTree.Rank >= w.Params.Roots {
 		return // each partition has a root that looks for the others
 	}
+	if len(w.Links) > 0 && !isSettled(w, now) {
+		return // the other daemons of this partition supply their members first
+	}
 	out.FindSeeds = len(w.Links) == 0 || w.FindEvery > 0
 	if !w.SeedsFound && len(w.Links) == 0 {
 		return
