Tests of a stop wait until the upstream is in use

Cause: they sent the first call once the tables knew the upstream. Change: wait for the first answered call, at most 2 s. All checks are as before.

--- a/internal/agent/leave_test.go
+++ b/internal/agent/leave_test.go
@@ -45,6 +45,13 @@
 		}
 		return len(ups) == 1
 	})
+	// The views for the call path follow the tables within the window of the control traffic.
+	const viewTimeout = 2 * time.Second
+	for began := time.Now(); f.call(1, "/r0") != outcome.Answered; time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > viewTimeout {
+			t.Fatalf("upstream not in use within %v after it was known", viewTimeout)
+		}
+	}
 	return f
 }
 
