Unsettled roots read often enough for the revocation bound

Cause: a daemon whose role is unsettled pauses for up to half of the time within which a change must be in force (7.5 s) after each read that has reached the end of the log. After a start with members that keep changing, all roots are unsettled for up to 30 s. With bounds.revoke below the pause the configuration then becomes stale on all daemons, which refuse calls that need a key.

Change: the pause is at most a tenth of the revocation bound, as the wait of a read already is.

--- a/internal/system/startreads.go
+++ b/internal/system/startreads.go
@@ -62,7 +62,13 @@
 	first := w.Started.Add(w.Params.Grace)
 	switch {
 	case log.CaughtUp:
-		return now.Before(log.EndReadAt.Add(unsettledWait(w, placeInOrder(w.Self))))
+		pause := unsettledWait(w, placeInOrder(w.Self))
+		if w.Params.Revoke > 0 {
+			// All roots may be unsettled at the same time. Without their reads, the
+			// configuration becomes stale on all daemons.
+			pause = min(pause, w.Params.Revoke/readsPerRevocationBound)
+		}
+		return now.Before(log.EndReadAt.Add(pause))
 	case log.Up: // reads on to the end
 		return false
 	case anyPeerAhead(w):
