Daemons stand in for roots that are cut off from other failure domains

Cause: if the roots of a failure domain run but reach neither the store nor other domains, the roots of those connect to the next daemons in its order. These exchanged nothing on the connections, since they are no roots and have a connection in their own domain. The domain got no new version, and its changes stayed unknown elsewhere. Probes by daemons that are not roots, which joined the two before, do not exchange anything either.

Change: a connection to another domain that has been open for longer than an unneeded one stays open is used by both ends. TestChangesCrossDomainsByRootsOnly gives its connections an age, which was zero time before, and covers both sides of the limit.

--- a/internal/system/gossip.go
+++ b/internal/system/gossip.go
@@ -98,9 +98,11 @@
 // requests what it lacks there. Between failure domains only the roots do so, and daemons that have
 // no connection in their own domain. While many daemons start, most have connections to other
 // domains for some seconds. If all of them used these, each record would cross between domains once
-// for every daemon.
+// for every daemon. A connection that stays open for longer is needed by a root of the other domain,
+// which has not reached the roots of this one.
 func exchangesWith(w *table.World, now time.Time, l *table.Link) bool {
-	return l.Domain == w.Self.Domain || linksDomains(w, now) || !connectedInDomain(w)
+	return l.Domain == w.Self.Domain || linksDomains(w, now) || !connectedInDomain(w) ||
+		now.Sub(l.Opened) > unwantedGrace+w.Params.Heartbeat
 }
 
 // connectedInDomain reports whether this daemon has a connection, other than a probe, to a peer
--- a/internal/system/gossip_test.go
+++ b/internal/system/gossip_test.go
@@ -21,19 +21,22 @@
 		name   string
 		root   bool
 		since  time.Duration
+		opened time.Duration
 		inside bool
 		want   bool
 	}{
-		{"root", true, time.Hour, true, true},
-		{"root only just", true, 0, true, false},
-		{"not a root", false, time.Hour, true, false},
-		{"not a root, alone in its domain", false, time.Hour, false, true},
+		{"root", true, time.Hour, 0, true, true},
+		{"root only just", true, 0, 0, true, false},
+		{"not a root", false, time.Hour, 0, true, false},
+		{"not a root, connection about to be closed", false, time.Hour, unwantedGrace, true, false},
+		{"not a root, connection that the peer needs", false, time.Hour, time.Minute, true, true},
+		{"not a root, alone in its domain", false, time.Hour, 0, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			w := documentWorld()
 			w.MembersTree.Root, w.MembersTree.SettlingSince = c.root, now.Add(-c.since)
-			w.Links[1] = &table.Link{ID: 1, Peer: "far", Domain: "e"}
+			w.Links[1] = &table.Link{ID: 1, Peer: "far", Domain: "e", Opened: now.Add(-c.opened)}
 			want := []table.LinkID{}
 			if c.inside {
 				w.Links[2] = &table.Link{ID: 2, Peer: "near", Domain: "d"}
--- a/internal/system/testnet_test.go
+++ b/internal/system/testnet_test.go
@@ -38,6 +38,8 @@
 	// domainPair; storeUnreachable the domains that cannot reach the store.
 	partitions       map[string]bool
 	storeUnreachable map[string]bool
+	// cutOff holds the daemons that reach only those of their own failure domain.
+	cutOff map[*testNode]bool
 	// hashAt holds the hash of the state that daemons held at each position of the log.
 	hashAt map[string]string
 	// checkFloor makes checkInvariants fail if a restarted daemon serves a version
@@ -200,7 +202,7 @@
 }
 
 func (n *testNet) isPartitioned(a, b *testNode) bool {
-	return a.domain != b.domain && n.partitions[domainPair(a, b)]
+	return a.domain != b.domain && (n.partitions[domainPair(a, b)] || n.cutOff[a] || n.cutOff[b])
 }
 
 // domainPair returns the key of a pair of failure domains in testNet.partitions.
