Refusal rates of owners: one mean for reading and recording

Under contention, the rate of an owner without recent calls was read as that of its failure domain, but the next result was recorded onto the rate of the whole service. Both now use the failure domain under contention, and the whole service otherwise, as before. TestRefusalDoesNotImproveAnOwner fails without the change; go test -race ./internal/pick passes with it.

--- a/internal/pick/contention_test.go
+++ b/internal/pick/contention_test.go
@@ -88,3 +88,20 @@
 	r.now = r.now.Add(4 * refusalDecayTime)
 	is.True(r.factor() > 0.9*maxContentionFactor) // both count like the whole service
 }
+
+// TestRefusalDoesNotImproveAnOwner guards against an owner without recent calls that counts like
+// its full domain until it refuses a call, and like the whole service from then on: the call
+// after a refusal would go to that owner rather than to those that have refused nothing.
+func TestRefusalDoesNotImproveAnOwner(t *testing.T) {
+	is := is.New(t)
+	r := newContentionRig()
+	r.observe(r.away, 400, 0)
+	r.observe(r.here, 50, 1)
+	r.observe(r.away, 50, 0)
+	idle := view.Upstream{ID: "idle", Service: "s", Domain: "d"}
+	before := r.refusalRate(&idle, r.stats[idle.ID], config.Normal, r.now)
+	r.observe(idle, 1, 1)
+	after := r.refusalRate(&idle, r.stats[idle.ID], config.Normal, r.now)
+	t.Logf("refusal rate %.3f, after a refusal %.3f", before, after)
+	is.True(after >= before)
+}
--- a/internal/pick/refusals.go
+++ b/internal/pick/refusals.go
@@ -21,8 +21,9 @@
 	ownerRefusalWeight   = 0.3
 	domainRefusalWeight  = 0.05
 	serviceRefusalWeight = 0.02
-	// refusalDecayTime is the time constant with which the refusal rate of an owner or of a
-	// failure domain decays towards the rate of all owners of the service.
+	// refusalDecayTime is the time constant with which the refusal rate of a failure domain
+	// decays towards that of all owners of the service, and the rate of an owner towards the
+	// same, or under contention towards that of its failure domain.
 	refusalDecayTime = 2 * time.Second
 )
 
@@ -62,16 +63,16 @@
 	return math.Exp(-float64(now.Sub(r.updatedAt)) / float64(refusalDecayTime))
 }
 
-// decayed returns the rate for an urgency, as decayed towards that of all owners.
-func (r *refusalRates) decayed(all *refusalRates, urgency config.Urgency, now time.Time) float64 {
-	mean := all.byUrgency[urgency]
+// decayed returns the rate for an urgency, as decayed towards that in means.
+func (r *refusalRates) decayed(means *refusalRates, urgency config.Urgency, now time.Time) float64 {
+	mean := means.byUrgency[urgency]
 	return mean + r.remainingWeight(now)*(r.byUrgency[urgency]-mean)
 }
 
-// decay applies the decay towards the rates of all owners.
-func (r *refusalRates) decay(all *refusalRates, now time.Time) {
+// decay applies the decay towards means.
+func (r *refusalRates) decay(means *refusalRates, now time.Time) {
 	for u := range r.byUrgency {
-		r.byUrgency[u] = r.decayed(all, config.Urgency(u), now)
+		r.byUrgency[u] = r.decayed(means, config.Urgency(u), now)
 	}
 }
 
@@ -108,8 +109,13 @@
 		domain = &refusalRates{}
 		s.byDomain[u.Domain] = domain
 	}
-	st.refusals.decay(&s.all, now)
 	domain.decay(&s.all, now)
+	// The same mean as in refusalRate: with a lower one, a refusal could improve an owner's rate.
+	if p.contention {
+		st.refusals.decay(domain, now)
+	} else {
+		st.refusals.decay(&s.all, now)
+	}
 	st.refusals.record(urgency, r, ownerRefusalWeight, now)
 	domain.record(urgency, r, domainRefusalWeight, now)
 	s.all.record(urgency, r, serviceRefusalWeight, now)
