Rejection of a compressed connection is not hidden by the unsent body

The sender of a long request body ends with an error once the owner has rejected the connection, because the body is then withheld. If it ended before roundTrip returned, its error replaced ErrNotAccepted, and an attempt that has certainly not run was reported as unknown. ErrNotAccepted now takes precedence.

--- a/internal/callpath/compress_test.go
+++ b/internal/callpath/compress_test.go
@@ -115,6 +115,26 @@
 	}
 }
 
+// TestRejectionIsNotHiddenByTheUnsentBody guards against an attempt of unknown outcome where the
+// owner has rejected the connection: a body that is withheld for that reason ends its sending with
+// an error, sometimes before the result is returned.
+func TestRejectionIsNotHiddenByTheUnsentBody(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 4, 0)
+	earlier := httptest.NewServer(http.NotFoundHandler())
+	defer earlier.Close()
+	u := view.Upstream{ID: "w0", Daemon: "w0", Domain: "e", Owner: earlier.Listener.Addr().String(), Compress: true}
+	unknown := 0
+	for range 300 {
+		a := waitingAttempt("a-1", "w0", time.Now().Add(5*time.Second))
+		a.Body = make([]byte, outcome.LongBody)
+		if r.ingress.remote.send(context.Background(), u, a).Outcome != outcome.NotRun {
+			unknown++
+		}
+	}
+	is.Equal(unknown, 0)
+}
+
 // TestBreakInsideAFrameIsResolvedAtTheOwner: a connection whose owner ends it inside the frame of a
 // response is handled as any broken connection: only the owner can say that the attempt did not run.
 func TestBreakInsideAFrameIsResolvedAtTheOwner(t *testing.T) {
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -155,7 +155,8 @@
 	body.resolve(false)
 	select {
 	case sendErr := <-sent:
-		if err != nil && sendErr != nil {
+		// ErrNotAccepted proves that the request was not run, whatever its sending returned.
+		if err != nil && sendErr != nil && !errors.Is(err, compress.ErrNotAccepted) {
 			err = sendErr
 		}
 		c.notReusable = c.notReusable || sendErr != nil
