Wording of compression, selection and retries after review; suspects do not count for a domain

Cause: a reviewer's remarks. Refusals of suspected requests say nothing about the room in a failure domain, and counted for it. Change: names, comments and two counters in the terms of the field; such refusals no longer count, with a test.

--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -25,7 +25,7 @@
 	RetryDenied      metrics.Counter
 	RetriesFoundRoom metrics.Counter
 	// OtherDomain counts the attempts sent to other failure domains, OtherDomainRefused those
-	// that owners there refused for want of room.
+	// that owners there refused for lack of capacity.
 	OtherDomain        metrics.Counter
 	OtherDomainRefused metrics.Counter
 	// Voided counts attempts that were voided after their connection broke.
@@ -92,8 +92,8 @@
 		RetryDenied:        counter("retries_denied"),
 		RetriesFoundRoom:   counter("retries_found_room"),
 		Voided:             counter("voided"),
-		OtherDomain:        counter("other_domain"),
-		OtherDomainRefused: counter("other_domain_refused"),
+		OtherDomain:        counter("attempts_other_domain"),
+		OtherDomainRefused: counter("attempts_other_domain_refused"),
 		Silent:             counter("silent"),
 		Started:            counter("attempts_started"),
 		Sent:               counter("attempts_sent"),
--- a/internal/compress/compress.go
+++ b/internal/compress/compress.go
@@ -1,6 +1,6 @@
 // Package compress compresses connections between daemons. Most of the headers of a message
-// repeat those of the messages before it, so that each direction of a connection is sent in
-// frames that are deflated with what was sent before as their dictionary.
+// repeat those of the messages before it. Each direction of a connection is therefore sent in
+// frames, deflated where that is smaller, with what was sent before as the dictionary.
 //
 // The end that opens the connection sends a preface. A frame is one byte of type, the length of
 // the payload as an unsigned varint, and the payload: the data, as it is or deflated, followed by
@@ -32,7 +32,7 @@
 	copyBytes = 32 << 10
 	// minSeparateBody is the length from which a binary body gets a frame of its own.
 	minSeparateBody = 128
-	// minBinaryPart is the part of bytes outside of ASCII from which a body counts as binary.
+	// minBinaryPart is the fraction of bytes outside ASCII from which a body counts as binary.
 	minBinaryPart = 0.25
 )
 
@@ -40,7 +40,7 @@
 // malformed request. It has run no request: everything that it received follows the preface.
 var ErrNotAccepted = errors.New("other end does not accept compressed connections")
 
-// errDamaged is the error of a connection on which something else than a frame arrived.
+// errDamaged is the error of a connection on which data arrived that is not a valid frame.
 var errDamaged = errors.New("compressed connection is damaged")
 
 // Metrics counts the bytes of compressed connections before compression, at the end that opened
@@ -88,7 +88,8 @@
 func (d *Dialed) ReadFrom(r io.Reader) (int64, error) { return copyFrom(d, r) }
 
 // Buffered returns the number of bytes that have arrived and were not read. Bytes of an
-// incomplete frame count too.
+// incomplete frame count too. It must not be called while a Read is in progress, for which it
+// would wait.
 func (d *Dialed) Buffered() int { return d.in.buffered() }
 
 // passThrough is the connection below a compressed one, with those of its methods besides
--- a/internal/compress/dictionary.go
+++ b/internal/compress/dictionary.go
@@ -26,7 +26,7 @@
 	last []byte
 }
 
-// add appends data that was sent and drops what is too old.
+// add appends data that was sent and drops what exceeds maxHistory.
 func (h *history) add(data []byte) {
 	if h.last == nil {
 		h.last = make([]byte, 0, maxHistory)
@@ -41,7 +41,8 @@
 	h.last = append(h.last, data...)
 }
 
-// appendDictionary appends the dictionary of the next frame to b.
+// appendDictionary appends the dictionary of the next frame to b: the constant one, followed by
+// the history.
 func (h *history) appendDictionary(b []byte) []byte {
 	return append(append(b, dictionary...), h.last...)
 }
--- a/internal/compress/reader.go
+++ b/internal/compress/reader.go
@@ -19,7 +19,8 @@
 	metrics *Metrics
 
 	mu sync.Mutex
-	// mayBeRejected is set until the first bytes have arrived at the end that sent the preface.
+	// mayBeRejected is set at the dialing end until its first bytes arrive: only then can the
+	// preface still be rejected.
 	mayBeRejected bool
 	// first holds the first bytes of a frame, as far as they have arrived. It is no longer than
 	// the shortest frame, so that it holds nothing of the frame after it.
@@ -33,7 +34,7 @@
 	data    *buffer
 	offset  int
 	history history
-	// sum is the checksum of all data so far.
+	// sum is the checksum of all payloads and all data so far.
 	sum uint32
 	// err is the error that ended the direction.
 	err error
@@ -146,7 +147,8 @@
 	return err
 }
 
-// parseHead parses the type and the length of a frame once they have arrived.
+// parseHead parses the type and the length of a frame. It leaves payload nil if more bytes are
+// needed.
 func (r *reader) parseHead(c net.Conn) error {
 	if r.firstLen == 0 {
 		return nil
--- a/internal/compress/writer.go
+++ b/internal/compress/writer.go
@@ -38,7 +38,7 @@
 	// preface is sent before the first frame; empty once it was.
 	preface string
 	history history
-	// sum is the checksum of all data so far.
+	// sum is the checksum of all payloads and all data so far.
 	sum uint32
 	// err is the error of a write. The other end may have received a part of a frame, so that
 	// nothing can follow it.
--- a/internal/pick/contention.go
+++ b/internal/pick/contention.go
@@ -12,7 +12,7 @@
 	// turn leaves its own.
 	maxContentionFactor = 8
 	// minOwnRefusals is the refusal rate of the owners in this failure domain below which
-	// calls need not leave it for want of room.
+	// calls need not leave it for lack of capacity.
 	minOwnRefusals = 0.01
 )
 
--- a/internal/pick/locality.go
+++ b/internal/pick/locality.go
@@ -11,7 +11,7 @@
 	local        *view.Upstream
 	sameDomain   []*view.Upstream
 	otherDomains []*view.Upstream
-	// compressed is set if calls to one of otherDomains are compressed.
+	// compressed is set if calls to at least one of otherDomains are compressed.
 	compressed bool
 }
 
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -126,11 +126,11 @@
 	for _, u := range p.twoUsable(groups.sameDomain, c, now) {
 		consider(u, hopCost)
 	}
-	if p.crossDomainCost(c, groups.compressed) > maxCrossDomainCost && p.domainReachable(groups) {
+	if p.domainBytesCost(c, groups.compressed) > maxCrossDomainCost && p.domainReachable(groups) {
 		return best
 	}
 	for _, u := range p.twoUsable(groups.otherDomains, c, now) {
-		cost := p.crossDomainCost(c, u.Compress)
+		cost := p.domainBytesCost(c, u.Compress)
 		if cost > maxCrossDomainCost && p.domainReachable(groups) {
 			continue
 		}
@@ -139,8 +139,8 @@
 	return best
 }
 
-// crossDomainCost returns what the bytes of a call cost if it is sent to another failure domain.
-func (p *Picker) crossDomainCost(c Criteria, compressed bool) float64 {
+// domainBytesCost returns what the bytes of a call cost if it is sent to another failure domain.
+func (p *Picker) domainBytesCost(c Criteria, compressed bool) float64 {
 	bytes := c.Bytes
 	if compressed {
 		bytes -= headerBytes - CompressedHeaderBytes
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -70,7 +70,8 @@
 	// byteCost is the cost of a byte between failure domains as a fraction of a call's
 	// worth.
 	byteCost float64
-	// contention is set while callers of all failure domains compete for the same resources.
+	// contention is set while callers of all failure domains compete for the same resources:
+	// where the part cross-domain-cost of load control is in force.
 	contention bool
 	now        func() time.Time
 	rand       *rand.Rand
--- a/internal/retry/attempts.go
+++ b/internal/retry/attempts.go
@@ -13,7 +13,8 @@
 	// number of those that an owner had no room for.
 	reached int
 	refused int
-	// refusedIn are the failure domains of the owners that had no room.
+	// refusedIn are the failure domains of the owners that had no room. Refusals of suspects
+	// say nothing about them.
 	refusedIn []string
 	last      outcome.Result
 	// answer is the response of an upstream that failed, kept in case no attempt does
@@ -23,8 +24,8 @@
 	unknown *outcome.Result
 }
 
-// Add records the result of an attempt at an upstream of a failure domain. It closes the body of an earlier answer
-// that the new one replaces.
+// Add records the result of an attempt at an upstream of a failure domain. It closes the body of
+// an earlier answer that the new one replaces.
 func (t *Attempts) Add(upstream, domain string, r outcome.Result) {
 	t.upstreams = append(t.upstreams, upstream)
 	if r.Reached() {
@@ -32,6 +33,8 @@
 	}
 	if r.RefusedForCapacity() {
 		t.refused++
+	}
+	if r.RefusedForCapacity() && !r.RefusedAsSuspect() {
 		t.refusedIn = append(t.refusedIn, domain)
 	}
 	if t.answer != nil && r.Outcome == outcome.Answered {
@@ -50,8 +53,8 @@
 // Upstreams returns the IDs of the upstreams tried so far.
 func (t *Attempts) Upstreams() []string { return t.upstreams }
 
-// RefusedIn returns the failure domains of the owners that had no room for the call, one entry
-// for each.
+// RefusedIn returns the failure domains of the owners that had no room for the call, one entry for
+// each.
 func (t *Attempts) RefusedIn() []string { return t.refusedIn }
 
 // Reached reports whether an upstream may have received one of the attempts.
--- a/internal/retry/attempts_test.go
+++ b/internal/retry/attempts_test.go
@@ -52,3 +52,16 @@
 	calls.Add("a2", "d", answer)
 	is.Equal(calls.Best().Outcome, outcome.Answered)
 }
+
+// TestRefusalsOfSuspectsDoNotCountForADomain guards against calls that leave their failure domain
+// because of what the request is suspected of: the owners there may have room.
+func TestRefusalsOfSuspectsDoNotCountForADomain(t *testing.T) {
+	is := is.New(t)
+	var calls Attempts
+	for _, reason := range []outcome.Reason{outcome.ReasonOtherSuspect, outcome.ReasonDraining} {
+		calls.Add("a", "d", outcome.Refuse(reason, 0))
+	}
+	is.Equal(len(calls.RefusedIn()), 0)
+	calls.Add("b", "e", outcome.Refuse(outcome.ReasonOverload, 0))
+	is.Equal(calls.RefusedIn(), []string{"e"})
+}
