A restarted failure domain asks other domains before it reads the log

Cause: starting daemons dial seeds of their own failure domain first. If all daemons of a domain restart while the store has come back from an older copy, they agree with each other about the members, read the older version and put it in force, before a root connects to another domain, where the later version is known.

Change: before the grace time has passed, a daemon without a configuration that knows of other domains reads the log only when it has a connection to one of them and no peer holds a later configuration.

--- a/internal/system/topology.go
+++ b/internal/system/topology.go
@@ -197,10 +197,28 @@
 
 // mayReadLog reports whether this daemon may read the log. A daemon that has just started
 // knows few members and therefore ranks first among them. To prevent all such daemons from
-// reading the log at the same time, each waits until its members match those of a peer, or
-// for the grace time.
+// reading the log at the same time, each waits until its members match those of a peer and it
+// awaits no other failure domain, or for the grace time.
 func mayReadLog(w *table.World, now time.Time) bool {
-	return now.Sub(w.Started) >= w.Params.Grace || membersMatchPeer(w)
+	return now.Sub(w.Started) >= w.Params.Grace || membersMatchPeer(w) && !awaitsOtherDomains(w)
+}
+
+// awaitsOtherDomains reports whether a daemon without a configuration has yet to learn whether other
+// failure domains hold a later one than the log: after a restart of its whole failure domain only
+// they know the version that was in force, and the log may have come back from an older copy.
+func awaitsOtherDomains(w *table.World) bool {
+	if w.Config.State.Version > 0 {
+		return false
+	}
+	if anyPeerAhead(w) {
+		return true
+	}
+	for _, l := range w.Links {
+		if l.Up() && l.Domain != w.Self.Domain {
+			return false
+		}
+	}
+	return slices.ContainsFunc(knownDomains(w), func(domain string) bool { return domain != w.Self.Domain })
 }
 
 // findParent returns the parent to use now, and whether the search is over. Until then
