--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -197,7 +197,7 @@
 		}
 	} else if out.ReadLog && !time.Now().Before(out.ReadAfter) && !a.readingConfig {
 		a.readingConfig = true
-		go a.readLog(out.ReadFrom, out.ReadAtOnce)
+		go a.readLog(out.ReadFrom, out.ReadWithoutWait)
 	}
 	if out.Append != nil {
 		go a.appendLog(store.ConfigTopic, out.Append)
--- a/internal/system/discovery.go
+++ b/internal/system/discovery.go
@@ -27,8 +27,8 @@
 	// maxSeedDials bounds the seeds dialed in one attempt.
 	maxSeedDials = 3
 	// maxOwnSeedDials bounds the seeds of its own failure domain that a daemon dials in one attempt.
-	// Two connections of each daemon join all daemons of a domain that starts. With three, each
-	// daemon sends every record once more.
+	// Two connections per daemon are enough to connect all daemons of a domain that starts; a
+	// third one only sends every record once more.
 	maxOwnSeedDials = 2
 )
 
@@ -79,10 +79,10 @@
 	}
 }
 
-// dialSeeds dials seeds on a daemon without connections: those of its own failure domain if ownFirst
+// dialSeeds dials seeds on a daemon without connections: those of its own failure domain if ownOnly
 // is set and some may be dialed, otherwise one of them and seeds of other and unknown domains. Until
 // the daemon is connected in its own domain, all that it learns and tells crosses between domains.
-func dialSeeds(w *table.World, now time.Time, ownFirst bool, out *Outbox) {
+func dialSeeds(w *table.World, now time.Time, ownOnly bool, out *Outbox) {
 	var own, others []string
 	for _, i := range w.Rand.Perm(len(w.Seeds)) {
 		addr := w.Seeds[i]
@@ -94,7 +94,7 @@
 			others = append(others, addr)
 		}
 	}
-	w.OwnSeedsDialed = ownFirst && len(own) > 0
+	w.OwnSeedsDialed = ownOnly && len(own) > 0
 	list := own[:min(maxOwnSeedDials, len(own))]
 	if !w.OwnSeedsDialed {
 		list = append(own[:min(1, len(own))], others...)
@@ -151,8 +151,9 @@
 	}
 }
 
-// addSeeds adds addresses to the seeds, and the failure domains that are known of them. A daemon without connections dials at once when
-// it gets its first addresses: until it has met a peer it refuses every call.
+// addSeeds adds addresses to the seeds and records their failure domains where known. A daemon
+// without connections dials as soon as it has its first addresses: it refuses all calls until it has
+// met a peer.
 func addSeeds(w *table.World, now time.Time, addrs []string, domains map[string]string) {
 	maps.Copy(w.SeedDomains, domains)
 	if len(addrs) > 0 && !w.SeedsFound {
--- a/internal/system/gossip_test.go
+++ b/internal/system/gossip_test.go
@@ -35,7 +35,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			w := documentWorld()
-			w.MembersTree.Root, w.MembersTree.SettlingSince = c.root, now.Add(-c.since)
+			w.MembersTree.Root, w.MembersTree.RoleChangedAt = c.root, now.Add(-c.since)
 			w.Links[1] = &table.Link{ID: 1, Peer: "far", Domain: "e", Opened: now.Add(-c.opened)}
 			want := []table.LinkID{}
 			if c.inside {
--- a/internal/system/slowstart_test.go
+++ b/internal/system/slowstart_test.go
@@ -55,7 +55,7 @@
 	if out.ReadLog && !n.now.Before(out.ReadAfter) && s.config[node] == nil {
 		s.reads["configuration"]++
 		r := &polledRead{from: out.ReadFrom, startedAt: n.bootTime(node), began: n.now, wait: configReadWait}
-		if out.ReadAtOnce {
+		if out.ReadWithoutWait {
 			r.wait = 0
 		}
 		s.config[node] = r
--- a/internal/system/startreads.go
+++ b/internal/system/startreads.go
@@ -62,7 +62,7 @@
 	first := w.Started.Add(w.Params.Grace)
 	switch {
 	case log.CaughtUp:
-		pause := unsettledWait(w, placeInOrder(w.Self))
+		pause := unsettledWait(w, estimatedRank(w.Self))
 		if w.Params.Revoke > 0 {
 			// All roots may be unsettled at the same time. Without their reads, the
 			// configuration becomes stale on all daemons.
@@ -76,18 +76,18 @@
 	case w.Config.State.Position > 0:
 		return false
 	}
-	return now.Before(first.Add(unsettledWait(w, placeInOrder(w.Self))))
+	return now.Before(first.Add(unsettledWait(w, estimatedRank(w.Self))))
 }
 
-// unsettledWait returns a part of the longest wait of a daemon whose role is unsettled.
-func unsettledWait(w *table.World, part float64) time.Duration {
-	return time.Duration(part * unsettledWaitFraction * float64(w.Params.InForce))
+// unsettledWait returns a fraction of the longest wait of a daemon whose role is unsettled.
+func unsettledWait(w *table.World, fraction float64) time.Duration {
+	return time.Duration(fraction * unsettledWaitFraction * float64(w.Params.InForce))
 }
 
-// placeInOrder estimates where a member will rank in the order of its failure domain, from 0
-// for the first to 1 for the last, without knowing the other members: the order is that of
+// estimatedRank estimates the rank of a member in the order of its failure domain, as a fraction
+// from 0 for the first to 1 for the last, without knowing the other members: the order is that of
 // narrowness and hash.
-func placeInOrder(m wire.Member) float64 {
+func estimatedRank(m wire.Member) float64 {
 	n := float64(narrowness(m))
 	return (n + float64(rankHash(m.Domain, m.ID))/math.MaxUint64) / (n + 1)
 }
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -117,9 +117,9 @@
 	ReadWait time.Duration
 	// ReadAfter is the earliest time at which that read may begin.
 	ReadAfter time.Time
-	// ReadAtOnce is set if that read must not wait for a new record: until a read has reached
+	// ReadWithoutWait is set if that read must not wait for a new record: until a read has reached
 	// the end of the log, a reader is not ready.
-	ReadAtOnce bool
+	ReadWithoutWait bool
 	// Append is a record to append to the configuration stream, or nil.
 	Append []byte
 	// PublishSelf requests that this daemon's addresses are written to the log, FindSeeds
--- a/internal/system/topology.go
+++ b/internal/system/topology.go
@@ -112,10 +112,10 @@
 	if settled || orphaned(w, now) {
 		w.MembersTree.Root = parent == "" || rank < w.Params.Roots
 	}
-	wasJoined := w.MembersTree.Joined
-	w.MembersTree.Joined = wasJoined || connectedInDomain(w)
-	if w.MembersTree.Root && !wasRoot || w.MembersTree.Joined && !wasJoined {
-		w.MembersTree.SettlingSince = now
+	wasJoined := w.MembersTree.JoinedDomain
+	w.MembersTree.JoinedDomain = wasJoined || connectedInDomain(w)
+	if w.MembersTree.Root && !wasRoot || w.MembersTree.JoinedDomain && !wasJoined {
+		w.MembersTree.RoleChangedAt = now
 	}
 	chooseCoordinators(w)
 	if linksDomains(w, now) {
@@ -125,7 +125,7 @@
 	probe(w, now, out)
 	findPeers(w, now, out)
 	out.ReadLog = w.MembersTree.Root && mayReadLog(w, now) && !unsettledWaits(w, now) && !orphanBacksOff(w, now, rank)
-	out.ReadAtOnce = !w.Log.CaughtUp
+	out.ReadWithoutWait = !w.Log.CaughtUp
 	out.ReadFrom = readFrom(w)
 	out.ReadAfter = w.Log.ReadAfter
 	out.ReadWait = documentReadWait(w)
@@ -245,18 +245,26 @@
 	return list
 }
 
+// matchedRoleFraction divides the heartbeat interval to give the time after which the role of a root
+// whose members match those of a peer is reliable.
+const matchedRoleFraction = 3
+
 // linksDomains reports whether this daemon connects its failure domain to the others. A root does
-// so when it has been one for a heartbeat interval after its first connection in its own domain. A
-// daemon that has just started knows few members and therefore ranks first among them: without the
-// delay, most daemons of a fleet that starts would connect to other domains and exchange all
-// records there.
+// so a heartbeat after it became one and had its first connection in its own domain, or sooner if
+// its members match those of a peer. A daemon that has just started knows few members and therefore
+// ranks first among them: without the delay, most daemons of a fleet that starts would connect to
+// other domains and exchange all records there.
 func linksDomains(w *table.World, now time.Time) bool {
-	return w.MembersTree.Root && now.Sub(w.MembersTree.SettlingSince) >= w.Params.Heartbeat
+	if !w.MembersTree.Root {
+		return false
+	}
+	sinceChange := now.Sub(w.MembersTree.RoleChangedAt)
+	return sinceChange >= w.Params.Heartbeat || sinceChange >= w.Params.Heartbeat/matchedRoleFraction && membersMatchPeer(w)
 }
 
 // connectDomains connects a root to one root of every other failure domain. A daemon that has become
-// a root because those before it have died tries the first roots there too: only these forward
-// changes to it at once.
+// a root because those before it have died tries the first roots there too: only the
+// roots of the other domain forward changes at once.
 func connectDomains(w *table.World, now time.Time, rank int, wanted map[string]bool, out *Outbox) {
 	for _, domain := range knownDomains(w) {
 		if domain == w.Self.Domain {
@@ -293,7 +301,8 @@
 const parallelSeedDials = 2
 
 // connectSeeds connects a root to a seed of a failure domain of which it knows no members yet.
-// While all daemons of a domain start with the seeds of their own domain, none may know another one.
+// While all daemons of a domain start with the seeds of their own domain, it can be that none of
+// them knows a member of another domain.
 func connectSeeds(w *table.World, now time.Time, domain string, wanted map[string]bool, out *Outbox) {
 	for _, l := range w.Links {
 		if l.Up() && !l.Probe && l.Domain == domain {
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -217,11 +217,11 @@
 	Orphan time.Time
 	// Root is set if this daemon reads the log.
 	Root bool
-	// Joined is set once this daemon has had a connection to a peer of its own failure domain.
-	Joined bool
-	// SettlingSince is when this daemon last became a root, or when Joined was set if that was
+	// JoinedDomain is set once this daemon has had a connection to a peer of its own failure domain.
+	JoinedDomain bool
+	// RoleChangedAt is when this daemon last became a root, or when JoinedDomain was set if that was
 	// later.
-	SettlingSince time.Time
+	RoleChangedAt time.Time
 	// Rank is this daemon's index in the order of its failure domain.
 	Rank int
 	// Unwanted holds when each dialed connection that is not part of the tree stopped
