--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -98,10 +98,11 @@
 	// storeEpoch is the epoch of the store that was last passed to the loop.
 	storeEpoch atomic.Uint64
 	// readingConfig is set from the start of a read of the configuration until its result has
-	// been applied. If it were cleared before, a tick in between would repeat the read, which
-	// happens often on a busy machine. Only the goroutine of the loop accesses it.
+	// been applied. If it were cleared when the read ends, a tick before the result is applied
+	// would repeat the read. Only the goroutine of the loop accesses it.
 	readingConfig bool
-	// readingQuarantine is the same for reads of quarantined requests.
+	// readingQuarantine is set from the start of a read of quarantined requests until its result
+	// has been applied. Only the goroutine of the loop accesses it.
 	readingQuarantine bool
 	// readingRollouts is set while a read of the rollout records is in progress.
 	readingRollouts atomic.Bool
@@ -371,7 +372,7 @@
 }
 
 // logCompression logs whether calls to other failure domains are compressed, at the start and
-// when that changes.
+// at each change.
 func (a *Agent) logCompression(v *view.View) {
 	if a.view != nil && a.view.Compress == v.Compress {
 		return
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -158,7 +158,7 @@
 	a.handleRolloutRequests(out)
 }
 
-// noteReadsDone records which reads of the store have ended. Their results are in the batch.
+// noteReadsDone clears the marks of the reads of the store whose results are in the batch.
 func (a *Agent) noteReadsDone(batch []system.Input) {
 	for _, in := range batch {
 		switch in.(type) {
@@ -210,10 +210,10 @@
 	}
 }
 
-func (a *Agent) readLog(from uint64, atOnce bool) {
+func (a *Agent) readLog(from uint64, withoutWait bool) {
 	startedAt := boottime.Now()
 	wait := logReadWait
-	if atOnce {
+	if withoutWait {
 		wait = 0
 	}
 	batch, err := a.log.Read(a.ctx, store.Query{Topic: store.ConfigTopic, From: from, Wait: wait})
--- a/internal/callpath/compress_test.go
+++ b/internal/callpath/compress_test.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// TestCompressedCallsTakeFewerBytes: the bytes on the wire are counted as those between failure
-// domains, and those before compression apart.
+// TestCompressedCallsTakeFewerBytes: the counters of bytes between failure domains count the bytes on
+// the wire; other counters count the bytes before compression.
 func TestCompressedCallsTakeFewerBytes(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 1, 4, 0)
@@ -196,8 +196,9 @@
 	eventually(t, func() bool { return callerDisconnected(ctx) })
 }
 
-// TestBytesAfterAResponsePreventReuse: they would be taken for the response to the next request,
-// also if they have arrived in the same frame as the response.
+// TestBytesAfterAResponsePreventReuse guards against the reuse of a connection with unread bytes,
+// which would be taken for the response to the next request. They may have arrived in the same
+// frame as the response.
 func TestBytesAfterAResponsePreventReuse(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 1, 4, 0)
--- a/internal/callpath/fleet_load_test.go
+++ b/internal/callpath/fleet_load_test.go
@@ -66,7 +66,8 @@
 	return retryAfter
 }
 
-// peakFactor returns how many times as many calls as usual enter at a VM now.
+// peakFactor returns the current rate of the calls that enter at a VM, as a multiple of the usual
+// rate.
 func (s *fleetSim) peakFactor(vm *simVM) float64 {
 	l, at := &s.load.simLoadControl, s.elapsed(s.now)
 	if l.swing > 0 {
--- a/internal/callpath/fleet_overflow_test.go
+++ b/internal/callpath/fleet_overflow_test.go
@@ -19,8 +19,8 @@
 }
 
 // TestPeakOfOneDomainIsServedByOthers simulates demand that peaks in one failure domain at a
-// time. The failure: under load control, calls were refused in the domain of the peak while the
-// others had free slots, since leaving a domain cost eight times as much wherever the call went.
+// time. It guards against calls that are refused in the domain of the peak while other domains have
+// free slots, as if the cost of bytes between domains were multiplied by eight wherever a call goes.
 func TestPeakOfOneDomainIsServedByOthers(t *testing.T) {
 	const length, minInTime = 20 * time.Second, 0.95
 	for seed := range uint64(3) {
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -355,24 +355,24 @@
 	return 700 * time.Microsecond
 }
 
-func (s *fleetSim) attempt(vm *simVM, k *simKind, c *call, t *retry.Attempts, done func(outcome.Result)) {
+func (s *fleetSim) attempt(vm *simVM, k *simKind, c *call, attempts *retry.Attempts, done func(outcome.Result)) {
 	in := vm.ingress
 	if !s.now.Before(c.attempt.Deadline) {
-		done(t.OutOfTime())
+		done(attempts.OutOfTime())
 		return
 	}
 	if refusal, blocked := quarantined(vm.suspects, &c.attempt, s.now); blocked {
-		done(t.Exhausted(refusal))
+		done(attempts.Exhausted(refusal))
 		return
 	}
-	u, refusal, ok := in.next(c, t)
+	u, refusal, ok := in.next(c, attempts)
 	if !ok {
-		done(t.Exhausted(refusal))
+		done(attempts.Exhausted(refusal))
 		return
 	}
 	to := s.byID[u.ID]
 	c.attempt.RateLimit = in.picker.RateLimit(u.ID)
-	c.attempt.Repeated = c.attempt.Repeated || t.Reached()
+	c.attempt.Repeated = c.attempt.Repeated || attempts.Reached()
 	s.attempts++
 	if to.domain != vm.domain {
 		s.crossDomain++
@@ -386,12 +386,12 @@
 				}
 				in.picker.Observe(u, in.rankUrgency(&c.attempt), r)
 				in.picker.Finished(u)
-				t.Add(u.ID, u.Domain, r)
-				if !in.mayRetry(c, t) {
-					done(t.Best())
+				attempts.Add(u.ID, u.Domain, r)
+				if !in.mayRetry(c, attempts) {
+					done(attempts.Best())
 					return
 				}
-				s.attempt(vm, k, c, t, done)
+				s.attempt(vm, k, c, attempts, done)
 			})
 		})
 	})
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -80,7 +80,7 @@
 	owner  *Owner
 	remote *remote
 	picker *pick.Picker
-	// retries decides which calls are tried again.
+	// retries decides which calls are retried.
 	retries *retry.Policy
 	view    atomic.Pointer[view.View]
 	// confirmedAt is the freshness.Timestamp of the configuration in force: the last time
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -22,46 +22,46 @@
 	if c.attempt.Repeated {
 		in.retries.ChargeRepeat(c.service.Name)
 	}
-	var t retry.Attempts
+	var attempts retry.Attempts
 	for {
 		if !in.cfg.Now().Before(c.attempt.Deadline) {
-			return t.OutOfTime()
+			return attempts.OutOfTime()
 		}
 		if refusal, isQuarantined := quarantined(in.cfg.Suspects, &c.attempt, in.cfg.Now()); isQuarantined {
 			in.cfg.Metrics.Quarantined.Inc(1)
-			return t.Exhausted(refusal)
+			return attempts.Exhausted(refusal)
 		}
-		u, refusal, ok := in.next(c, &t)
+		u, refusal, ok := in.next(c, &attempts)
 		if !ok {
-			return t.Exhausted(refusal)
+			return attempts.Exhausted(refusal)
 		}
-		c.attempt.Repeated = c.attempt.Repeated || t.Reached()
-		c.attempt.Retry = len(t.Upstreams()) > 0
-		t.Add(u.ID, u.Domain, in.try(ctx, c, u))
-		if ctx.Err() != nil || in.callsCtx.Err() != nil || !in.mayRetry(c, &t) {
-			return t.Best()
+		c.attempt.Repeated = c.attempt.Repeated || attempts.Reached()
+		c.attempt.Retry = len(attempts.Upstreams()) > 0
+		attempts.Add(u.ID, u.Domain, in.try(ctx, c, u))
+		if ctx.Err() != nil || in.callsCtx.Err() != nil || !in.mayRetry(c, &attempts) {
+			return attempts.Best()
 		}
 		in.cfg.Metrics.Retries.Inc(1)
 		in.cfg.Events.Add(event.Event{
 			Kind: event.CallRetried, Request: c.attempt.Request, Service: c.service.Name,
-			Peer: u.ID, Detail: string(t.Last().Reason),
+			Peer: u.ID, Detail: string(attempts.Last().Reason),
 		})
-		in.logRetry(c, u, t.Last())
+		in.logRetry(c, u, attempts.Last())
 	}
 }
 
 // next returns the upstream for the next attempt. A call with an idempotency key goes to
 // the upstream that the hash of the key selects, whichever daemon it enters at, so that
 // the owner of that upstream sees every copy.
-func (in *Ingress) next(c *call, t *retry.Attempts) (view.Upstream, outcome.Result, bool) {
+func (in *Ingress) next(c *call, attempts *retry.Attempts) (view.Upstream, outcome.Result, bool) {
 	if c.attempt.IdempotencyKey == "" {
-		criteria := in.criteria(c, t)
+		criteria := in.criteria(c, attempts)
 		if crashCount(in.cfg.Suspects, &c.attempt) > 0 {
 			criteria.AffinityKey = c.attempt.digest().String()
 		}
 		return in.pick(c, criteria)
 	}
-	if len(t.Upstreams()) > 0 {
+	if len(attempts.Upstreams()) > 0 {
 		// The owner of another upstream would not know of the copies sent to the first.
 		return view.Upstream{}, outcome.Refuse(outcome.ReasonOverload, outcome.MinRetryAfter), false
 	}
@@ -70,7 +70,7 @@
 		return view.Upstream{}, outcome.Refuse(outcome.ReasonNoUpstream, pick.DefaultRetryAfter), false
 	}
 	only := &view.Service{Service: c.service.Service, Upstreams: []view.Upstream{*target}}
-	return in.picker.Pick(only, in.criteria(c, t))
+	return in.picker.Pick(only, in.criteria(c, attempts))
 }
 
 // pick selects an upstream from the part of the service that this call goes to during a
@@ -120,14 +120,14 @@
 
 // criteria returns what the attempt requires of an upstream, estimated from recent calls
 // of its route. It also sets the attempt's TypicalLatency and AnswerBytes.
-func (in *Ingress) criteria(c *call, t *retry.Attempts) pick.Criteria {
+func (in *Ingress) criteria(c *call, attempts *retry.Attempts) pick.Criteria {
 	objective := objectiveOf(c.route.Policy)
 	criteria := pick.Criteria{
 		Urgency:   in.rankUrgency(&c.attempt),
 		Objective: objective,
 		Body:      len(c.attempt.Body),
-		Tried:     t.Upstreams(),
-		RefusedIn: t.RefusedIn(),
+		Tried:     attempts.Upstreams(),
+		RefusedIn: attempts.RefusedIn(),
 	}
 	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
 	c.attempt.TypicalLatency = criteria.TypicalLatency
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -24,8 +24,8 @@
 	Retries          metrics.Counter
 	RetryDenied      metrics.Counter
 	RetriesFoundRoom metrics.Counter
-	// OtherDomain counts the attempts sent to other failure domains, OtherDomainRefused those
-	// that owners there refused for lack of capacity.
+	// OtherDomain counts the attempts sent to other failure domains. OtherDomainRefused counts
+	// the attempts among them that the owners refused for lack of capacity.
 	OtherDomain        metrics.Counter
 	OtherDomainRefused metrics.Counter
 	// Voided counts attempts that were voided after their connection broke.
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -164,11 +164,11 @@
 		if reason, after := loc.gate.Check(admissionRequest(a)); reason != "" {
 			return outcome.Refuse(reason, after), false
 		}
-		t, after, ok := o.intake.Reserve(r.ContentLength, a.Deadline)
+		reservation, after, ok := o.intake.Reserve(r.ContentLength, a.Deadline)
 		if !ok {
 			return outcome.Refuse(outcome.ReasonLink, after), false
 		}
-		if !o.awaitIntake(r.Context(), t) {
+		if !o.awaitIntake(r.Context(), reservation) {
 			return outcome.Refuse(outcome.ReasonCancelled, 0), false
 		}
 	}
@@ -182,12 +182,12 @@
 
 // awaitIntake waits until a reserved body may be sent. False: ctx ended first, and the
 // reservation is cancelled.
-func (o *Owner) awaitIntake(ctx context.Context, t intake.Reservation) bool {
-	wait := o.intake.Remaining(t)
+func (o *Owner) awaitIntake(ctx context.Context, r intake.Reservation) bool {
+	wait := o.intake.Remaining(r)
 	if wait <= 0 || pause(ctx, wait) {
 		return true
 	}
-	o.intake.Cancel(t)
+	o.intake.Cancel(r)
 	return false
 }
 
--- a/internal/callpath/ownerruns_test.go
+++ b/internal/callpath/ownerruns_test.go
@@ -160,9 +160,9 @@
 	late := outcome.Refuse(outcome.ReasonOverload, 2*time.Second)
 	r.ingress.retries.Earn(r.ingress.retryCall(c))
 	mayRetry := func(refusal outcome.Result) bool {
-		t := &retry.Attempts{}
-		t.Add("a", "d", refusal)
-		return r.ingress.mayRetry(c, t)
+		attempts := &retry.Attempts{}
+		attempts.Add("a", "d", refusal)
+		return r.ingress.mayRetry(c, attempts)
 	}
 	is.True(mayRetry(late)) // without load control
 	r.setLoadControl()
@@ -186,9 +186,9 @@
 	r.ingress.retries.Earn(r.ingress.retryCall(direct))
 	r.ingress.retries.Earn(r.ingress.retryCall(&nested))
 	mayRetry := func(c *call) bool {
-		t := &retry.Attempts{}
-		t.Add("w0", "d", outcome.Refuse(outcome.ReasonOverload, 0))
-		return r.ingress.mayRetry(c, t)
+		attempts := &retry.Attempts{}
+		attempts.Add("w0", "d", outcome.Refuse(outcome.ReasonOverload, 0))
+		return r.ingress.mayRetry(c, attempts)
 	}
 	for range 100 { // twice the budget of a service
 		for _, u := range v.Services["s"].Upstreams {
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -34,8 +34,8 @@
 	// crossDomain counts the bytes of the connections for the purposes of their requests; nil:
 	// they are not counted.
 	crossDomain *crossdomain.Counters
-	// compress is set if connections are compressed that are opened from now on. Their bytes are
-	// counted by compressed.
+	// compress is set if new connections are compressed. compressed counts the bytes of
+	// compressed connections; nil: they are not counted.
 	compress   atomic.Bool
 	compressed *compress.Metrics
 	// tokens holds one token per open connection; nil if their number is unlimited.
@@ -155,7 +155,7 @@
 	body.resolve(false)
 	select {
 	case sendErr := <-sent:
-		// ErrNotAccepted proves that the request was not run, whatever its sending returned.
+		// ErrNotAccepted proves that the request was not run, even if sending it has failed too.
 		if err != nil && sendErr != nil && !errors.Is(err, compress.ErrNotAccepted) {
 			err = sendErr
 		}
@@ -257,7 +257,7 @@
 	return c
 }
 
-// unread reports whether bytes have arrived that were not read.
+// unread reports whether the buffers of the connection hold bytes that were not read.
 func (c *clientConn) unread() bool {
 	return c.br.Buffered() > 0 || c.compressed != nil && c.compressed.Buffered() > 0
 }
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -289,8 +289,8 @@
 	return out
 }
 
-// unsentResult returns the result of an attempt of which nothing was sent. False: err
-// does not prove that.
+// unsentResult returns the result of an attempt of which nothing was sent, or which the owner
+// has rejected unread. False: err proves neither.
 func unsentResult(ctx context.Context, err error) (outcome.Result, bool) {
 	reason, withheld := withheldReason(err)
 	out := outcome.Refuse(reason, outcome.MinRetryAfter)
@@ -299,8 +299,8 @@
 		return out, true
 	}
 	if errors.Is(err, compress.ErrNotAccepted) {
-		// The owner has restarted as an earlier build and has read no request. An owner of this
-		// build would refuse the attempt because of its incarnation.
+		// The owner has restarted as an earlier build and has read no request. The reason is the
+		// one with which owners refuse attempts for an earlier incarnation.
 		out.Reason, out.RetryAfter = outcome.ReasonUpstreamRemoved, 0
 		return out, true
 	}
--- a/internal/callpath/retry.go
+++ b/internal/callpath/retry.go
@@ -15,10 +15,10 @@
 	}
 }
 
-// mayRetry reports whether a call may be tried again after its last attempt, and updates the
+// mayRetry reports whether a call may be retried after its last attempt, and updates the
 // metrics of retries.
-func (in *Ingress) mayRetry(c *call, t *retry.Attempts) bool {
-	d := in.retries.Decide(in.retryCall(c), t)
+func (in *Ingress) mayRetry(c *call, attempts *retry.Attempts) bool {
+	d := in.retries.Decide(in.retryCall(c), attempts)
 	if d.FoundRoom {
 		in.cfg.Metrics.RetriesFoundRoom.Inc(1)
 	}
--- a/internal/compress/compress.go
+++ b/internal/compress/compress.go
@@ -1,9 +1,10 @@
 // Package compress compresses connections between daemons. Most of the headers of a message
 // repeat those of the messages before it. Each direction of a connection is therefore sent in
-// frames, deflated where that is smaller, with what was sent before as the dictionary.
+// frames. A frame is deflated if that makes it smaller; the data of earlier frames of the same
+// direction are then part of the dictionary.
 //
 // The end that opens the connection sends a preface. A frame is one byte of type, the length of
-// the payload as an unsigned varint, and the payload: the data, as it is or deflated, followed by
+// the payload as an unsigned varint, and the payload: the data, raw or deflated, followed by
 // the CRC-32C of all payloads and data of the direction so far. Without the checksum, damage to a
 // frame could yield bytes that were not sent.
 package compress
@@ -19,25 +20,26 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// preface is the first thing that the end that opened a compressed connection sends. An HTTP
-// server that does not know it rejects it as a malformed request line. Without the end of the line
-// it would wait for that until its time-out, because a frame need not contain one.
+// preface starts a compressed connection; the end that opened the connection sends it. An HTTP
+// server that does not know the preface rejects it as a malformed request line. Without the line
+// feed the server would wait for one until its timeout, because a frame need not contain one.
 const preface = "CFZ1\n"
 
 const (
-	// minRawWrite is the length from which a write is sent as it is, in bytes: long bodies are
-	// rarely worth the processor time.
+	// minRawWrite is the length from which a write is sent raw, in bytes: compressing long
+	// bodies is rarely worth the processor time.
 	minRawWrite = 16 << 10
-	// copyBytes is the length of the writes in which a body is copied to a connection.
+	// copyBytes is the length of the writes in which a body is copied to a connection, in bytes.
 	copyBytes = 32 << 10
-	// minSeparateBody is the length from which a binary body gets a frame of its own.
+	// minSeparateBody is the length from which a binary body gets a frame of its own, in bytes.
 	minSeparateBody = 128
 	// minBinaryPart is the fraction of bytes outside ASCII from which a body counts as binary.
 	minBinaryPart = 0.25
 )
 
 // ErrNotAccepted is the error of a connection whose other end has rejected the preface as a
-// malformed request. It has run no request: everything that it received follows the preface.
+// malformed request. The other end has run no request: everything that it received follows the
+// preface.
 var ErrNotAccepted = errors.New("other end does not accept compressed connections")
 
 // errDamaged is the error of a connection on which data arrived that is not a valid frame.
@@ -87,13 +89,12 @@
 // bufio.Writer.
 func (d *Dialed) ReadFrom(r io.Reader) (int64, error) { return copyFrom(d, r) }
 
-// Buffered returns the number of bytes that have arrived and were not read. Bytes of an
-// incomplete frame count too. It must not be called while a Read is in progress, for which it
-// would wait.
+// Buffered returns the number of bytes that have arrived and were not read, including those of
+// an incomplete frame. It blocks while a Read is in progress.
 func (d *Dialed) Buffered() int { return d.in.buffered() }
 
-// passThrough is the connection below a compressed one, with those of its methods besides
-// net.Conn that the users of the connection need.
+// passThrough is the connection below a compressed one. Besides net.Conn it has the methods of
+// a TCP connection that are called on compressed connections.
 type passThrough struct{ net.Conn }
 
 // CloseWrite closes the direction in which this end sends.
@@ -130,7 +131,7 @@
 
 // split returns the length of the first frame of a short write. Binary bodies are separated from
 // the headers before them: in the same frame, they would lengthen the codes of the headers, and
-// they could not be sent raw.
+// the body could not be sent raw.
 func split(p []byte) int {
 	end := bytes.Index(p, []byte("\r\n\r\n"))
 	if end < 0 {
@@ -143,6 +144,7 @@
 	return len(p) - len(body)
 }
 
+// binaryData reports whether at least minBinaryPart of the bytes are outside ASCII.
 func binaryData(p []byte) bool {
 	n := 0
 	for _, b := range p {
--- a/internal/compress/compress_test.go
+++ b/internal/compress/compress_test.go
@@ -120,7 +120,7 @@
 }
 
 // TestDamageNeverYieldsOtherBytes cuts a stream, or damages a part of it: what arrives is a
-// beginning of what was sent, followed by an error. A cut between two frames is the end of the
+// prefix of what was sent, followed by an error. A cut between two frames is the end of the
 // connection.
 func TestDamageNeverYieldsOtherBytes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -176,8 +176,8 @@
 	}
 }
 
-// TestOtherConnectionsStayAsTheyAre: what an earlier build sends does not begin with the preface,
-// though it may begin like it, and reaches the server unchanged.
+// TestOtherConnectionsStayAsTheyAre: the bytes of an earlier build, which may begin with a part of
+// the preface but not with all of it, reach the server unchanged.
 func TestOtherConnectionsStayAsTheyAre(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		begin := preface[:rapid.IntRange(0, len(preface)-1).Draw(t, "begin")]
@@ -230,7 +230,7 @@
 	for _, b := range far.out {
 		go func() { _, _ = near.Write([]byte{b}) }()
 		p := make([]byte, 64)
-		for range 2 { // one read gets the byte, the other the time-out
+		for range 2 { // one read gets the byte, the other the timeout
 			is.NoErr(server.SetReadDeadline(time.Now().Add(5 * time.Millisecond)))
 			n, err := server.Read(p)
 			got = append(got, p[:n]...)
@@ -306,7 +306,7 @@
 	for _, first := range [][]byte{[]byte(request), []byte("\n" + request), random, bytes.Repeat([]byte("\r\n"+request), 1000)} {
 		c, err := net.Dial("tcp", srv.Listener.Addr().String())
 		is.NoErr(err)
-		is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second))) // an answer must not wait for a time-out of the server
+		is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second))) // an answer must not wait for a timeout of the server
 		d := Conn(c, nil)
 		_, err = d.Write(first)
 		is.NoErr(err)
@@ -379,8 +379,8 @@
 	}
 }
 
-// exchange sends requests and responses over a connection and returns their length and that on
-// the wire. It fails if one of them arrives changed or takes more than one write.
+// exchange sends requests and responses over a connection. It returns the number of their bytes and
+// the number of bytes on the wire. It fails if a message arrives changed or takes more than one write.
 func exchange(t testing.TB, requests, responses [][]byte) (plain, wire int) {
 	toServer, toClient := &bytes.Buffer{}, &bytes.Buffer{}
 	clientEnd, serverEnd := &wireConn{in: toClient}, &wireConn{in: toServer}
@@ -440,7 +440,7 @@
 	}
 }
 
-// idleAfter delivers the bytes and then a time-out, as an idle connection does.
+// idleAfter delivers the bytes and then a timeout, as an idle connection does.
 type idleAfter struct{ r io.Reader }
 
 func (i idleAfter) Read(p []byte) (int, error) {
@@ -503,7 +503,8 @@
 	runtime.KeepAlive(servers)
 }
 
-// TestBytesBeforeCompressionAreCounted: an operator compares them with those on the wire.
+// TestBytesBeforeCompressionAreCounted guards against wrong counts of the bytes before compression,
+// from which operators calculate the compression ratio.
 func TestBytesBeforeCompressionAreCounted(t *testing.T) {
 	is := is.New(t)
 	m := NewMetrics(metrics.NewRegistry())
--- a/internal/compress/dictionary.go
+++ b/internal/compress/dictionary.go
@@ -1,12 +1,13 @@
 package compress
 
-// maxHistory is how many bytes of a direction of a connection are kept as the dictionary of its
-// next frame.
+// maxHistory is how many of the last bytes of a direction of a connection are part of the
+// dictionary of its next frame.
 const maxHistory = 2 << 10
 
-// dictionary precedes what was sent before on a connection. It holds the names and usual values
-// of the headers between daemons for the first messages of a connection. Both ends must use the
-// same one: a change needs another preface.
+// dictionary is the constant part of the dictionary of a frame; the history follows it. It holds
+// the names and usual values of the headers between daemons, so that the first messages of a
+// connection are compressed too. Both ends must use the same dictionary: a change needs another
+// preface.
 const dictionary = "Comfrey-Suspect: \r\nComfrey-Draining: 1\r\nComfrey-Flow: \r\nComfrey-Nested: 1000\r\nComfrey-Repeated: 1\r\n" +
 	"Comfrey-Answer-Bytes: \r\nComfrey-Rate-Limit: \r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n" +
 	"Idempotency-Key: \r\nContent-Encoding: gzip\r\nCache-Control: no-cache\r\nConnection: close\r\n" +
@@ -21,7 +22,7 @@
 	"Comfrey-Sent-Us: \r\nComfrey-Upstream: \r\nComfrey-Urgency: 1\r\nComfrey-Workspace: \r\nContent-Length: 400\r\n" +
 	"Content-Type: application/json\r\nUser-Agent: Go-http-client/1.1\r\nX-Request-Id: \r\n\r\nGET / HTTP/1.1\r\n"
 
-// history holds the last bytes of one direction of a connection.
+// history holds the last bytes that were sent in one direction of a connection.
 type history struct {
 	last []byte
 }
@@ -41,7 +42,7 @@
 	h.last = append(h.last, data...)
 }
 
-// appendDictionary appends the dictionary of the next frame to b: the constant one, followed by
+// appendDictionary appends the dictionary of the next frame to b: the constant part, followed by
 // the history.
 func (h *history) appendDictionary(b []byte) []byte {
 	return append(append(b, dictionary...), h.last...)
--- a/internal/compress/listener.go
+++ b/internal/compress/listener.go
@@ -25,17 +25,19 @@
 // accepted is a connection that was accepted. Safe for concurrent use.
 type accepted struct {
 	passThrough
-	// compressed is set once the preface has arrived, plain once it is certain that it will not.
+	// compressed is set once the preface has arrived. plain is set once bytes have arrived that
+	// are not the preface, and all of them were read.
 	compressed atomic.Pointer[frameConn]
 	plain      atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// first holds the bytes that were read to recognize the preface, from offset on.
+	// first holds the firstLen bytes that were read to recognize the preface. Those before
+	// offset have been returned by Read.
 	first    [len(preface)]byte
 	firstLen int
 	offset   int
-	// differs is set if these bytes are not the preface.
+	// differs is set if the bytes in first are not the preface.
 	differs bool
 }
 
@@ -58,8 +60,9 @@
 	return a.Conn.Read(p)
 }
 
-// readFirst reads until it is known whether the connection is compressed. If it is not, it
-// returns what was read for that. Zero bytes without an error: the connection is to be read from.
+// readFirst reads until it is known whether the connection is compressed. If the connection is not
+// compressed, readFirst returns the bytes in first. Zero bytes without an error: the caller must
+// read from the connection, compressed or plain.
 func (a *accepted) readFirst(p []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -94,7 +97,8 @@
 	return a.Conn.Write(p)
 }
 
-// ReadFrom implements io.ReaderFrom, which http.Server uses as it does that of a TCP connection.
+// ReadFrom implements io.ReaderFrom, which http.Server calls for bodies that are copied to a
+// response, as it does on a TCP connection.
 func (a *accepted) ReadFrom(r io.Reader) (int64, error) {
 	if rf, ok := a.Conn.(io.ReaderFrom); ok && a.compressed.Load() == nil {
 		return rf.ReadFrom(r)
--- a/internal/compress/reader.go
+++ b/internal/compress/reader.go
@@ -19,15 +19,15 @@
 	metrics *Metrics
 
 	mu sync.Mutex
-	// mayBeRejected is set at the dialing end until its first bytes arrive: only then can the
-	// preface still be rejected.
+	// mayBeRejected is set at the dialing end until its first bytes arrive: a rejection of the
+	// preface is the first thing that the other end sends.
 	mayBeRejected bool
-	// first holds the first bytes of a frame, as far as they have arrived. It is no longer than
-	// the shortest frame, so that it holds nothing of the frame after it.
+	// first holds the first firstLen bytes of a frame. It is no longer than the shortest frame, so
+	// that it holds nothing of the next frame.
 	first    [minFrameBytes]byte
 	firstLen int
-	// payload holds the payload of a frame of which not all has arrived, or is nil. arrived is
-	// how much of it has.
+	// payload is the buffer for the payload of an incomplete frame, or nil. arrived is the number
+	// of its bytes that have arrived.
 	payload *buffer
 	arrived int
 	// data holds the data of the last frame from offset on, or is nil if all of it was read.
@@ -65,7 +65,7 @@
 	return n
 }
 
-// read implements Read of a connection. After a time-out it can be called again; all other
+// read implements Read of a connection. After a timeout it can be called again; all other
 // errors are final.
 func (r *reader) read(c net.Conn, p []byte) (int, error) {
 	r.mu.Lock()
@@ -96,7 +96,8 @@
 	return n, nil
 }
 
-// end records the error that ends the direction and releases what it holds.
+// end records the error that ends the direction, and releases the buffer of an incomplete frame
+// and the history.
 func (r *reader) end(err error) {
 	r.err, r.firstLen, r.history = err, 0, history{}
 	if r.payload != nil {
@@ -112,7 +113,7 @@
 		n, err := c.Read(r.first[r.firstLen:])
 		r.firstLen += n
 		if n == 0 && err != nil {
-			return r.ended(err)
+			return r.frameError(err)
 		}
 		if err := r.parseHead(c); err != nil {
 			return err
@@ -122,7 +123,7 @@
 		n, err := c.Read(r.payload.b[r.arrived:])
 		r.arrived += n
 		if n == 0 && err != nil {
-			return r.ended(err)
+			return r.frameError(err)
 		}
 	}
 	payload := r.payload
@@ -138,17 +139,17 @@
 	return nil
 }
 
-// ended returns the error for one of the connection: the end of the connection inside a frame is
-// an error.
-func (r *reader) ended(err error) error {
+// frameError returns the error of the direction for an error of the connection: io.EOF inside a
+// frame becomes io.ErrUnexpectedEOF.
+func (r *reader) frameError(err error) error {
 	if err == io.EOF && r.firstLen > 0 {
 		return io.ErrUnexpectedEOF
 	}
 	return err
 }
 
-// parseHead parses the type and the length of a frame. It leaves payload nil if more bytes are
-// needed.
+// parseHead parses the head of a frame, its type and its length. It leaves payload nil if more
+// bytes are needed.
 func (r *reader) parseHead(c net.Conn) error {
 	if r.firstLen == 0 {
 		return nil
@@ -177,7 +178,8 @@
 // rejection is the beginning of the response of an HTTP server that does not know the preface.
 const rejection = "HTTP/1.1 400 "
 
-// readRejection reads what the other end sent instead of a frame.
+// readRejection returns ErrNotAccepted if the other end has sent a rejection instead of a frame,
+// and errDamaged otherwise.
 func (r *reader) readRejection(c net.Conn) error {
 	var b [len(rejection)]byte
 	n := copy(b[:], r.first[:r.firstLen])
@@ -219,7 +221,7 @@
 	return data, nil
 }
 
-// inflateStep is by how much the buffer for inflated data grows at least, in bytes.
+// inflateStep is the minimum by which the buffer for inflated data grows, in bytes.
 const inflateStep = 2 << 10
 
 // inflate returns the data of a deflated payload without its checksum.
--- a/internal/compress/writer.go
+++ b/internal/compress/writer.go
@@ -14,16 +14,16 @@
 	// typeRaw and typeDeflated are the types of frames.
 	typeRaw      = 0
 	typeDeflated = 1
-	// maxFrame is the most data that a frame holds, in bytes.
+	// maxFrame is the maximum size of the data of a frame, in bytes.
 	maxFrame = 64 << 10
 	// checksumBytes is the length of the checksum at the end of a payload.
 	checksumBytes = 4
 	// minPayload and maxPayload bound the length of a payload.
 	minPayload = 1 + checksumBytes
 	maxPayload = maxFrame + checksumBytes
-	// maxHead is the length of the longest type and length of a frame.
+	// maxHead is the maximum length of the head of a frame: its type and the length of its payload.
 	maxHead = 1 + 3
-	// minFrameBytes is the length of the shortest frame with its type and length.
+	// minFrameBytes is the length of the shortest frame, including its head.
 	minFrameBytes = 2 + minPayload
 )
 
@@ -35,13 +35,13 @@
 	metrics *Metrics
 
 	mu sync.Mutex
-	// preface is sent before the first frame; empty once it was.
+	// preface is sent before the first frame. It is empty once it has been sent.
 	preface string
 	history history
 	// sum is the checksum of all payloads and all data so far.
 	sum uint32
-	// err is the error of a write. The other end may have received a part of a frame, so that
-	// nothing can follow it.
+	// err is the error of the first write that failed. The other end may have received a part of
+	// a frame, so that no further frame can be sent.
 	err error
 }
 
@@ -59,8 +59,8 @@
 
 var framesPool = sync.Pool{New: func() any { return &frames{} }}
 
-// write sends p. A write that does not become a frame that is sent raw for its length is sent
-// with one write to the connection.
+// write sends p. If p is shorter than minRawWrite, it is sent with one write to the connection,
+// otherwise with one for each frame.
 func (w *writer) write(c net.Conn, p []byte) (written int, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -96,8 +96,8 @@
 	return written, nil
 }
 
-// appendShort appends a frame with the data, deflated if that makes it smaller. Empty data have
-// no frame.
+// appendShort appends a frame with the data, deflated if that makes the frame smaller. Nothing is
+// appended for empty data.
 func (w *writer) appendShort(f *frames, data []byte) {
 	if len(data) == 0 {
 		return
@@ -108,14 +108,14 @@
 	w.history.add(data)
 }
 
-// appendDeflated appends a deflated frame. False: that would not be smaller than a raw one, and
-// nothing was appended.
+// appendDeflated appends a deflated frame. False: the frame would not be smaller than a raw one,
+// and nothing was appended.
 func (w *writer) appendDeflated(f *frames, data []byte) bool {
 	f.dictionary = w.history.appendDictionary(f.dictionary[:0])
 	start := len(f.buf)
-	f.buf = append(f.buf, make([]byte, maxHead)...) // moved together below
-	// A stateless compressor keeps no memory besides its bit writer; one of the other levels
-	// takes a megabyte. Errors are those of the writer, which has none.
+	f.buf = append(f.buf, make([]byte, maxHead)...) // room for the head, whose length is not known yet
+	// The stateless compressor keeps no memory besides its bit writer; a compressor of another
+	// level takes a megabyte. StatelessDeflate returns only errors of f.Write, which has none.
 	_ = flate.StatelessDeflate(f, data, true, f.dictionary)
 	deflated := f.buf[start+maxHead:]
 	if len(deflated) >= len(data) {
@@ -124,7 +124,8 @@
 	}
 	f.buf = appendHead(f.buf[:start], typeDeflated, len(deflated))
 	f.buf = append(f.buf, deflated...)
-	// The last byte of the deflated data has bits that do not affect the data.
+	// The deflated data count too: the last byte of them has bits that do not affect the inflated
+	// data, so that a checksum of these alone would miss damage to those bits.
 	w.sum = crc32.Update(w.sum, castagnoli, f.buf[len(f.buf)-len(deflated):])
 	w.appendChecksum(f, data)
 	return true
--- a/internal/config/compression.go
+++ b/internal/config/compression.go
@@ -18,7 +18,7 @@
 	return c == CompressionAuto || c == CompressionOn || c == CompressionOff
 }
 
-// InForce reports whether compression is in force where load control is, or is not.
+// InForce reports whether compression is in force, given whether load control is in force.
 func (c Compression) InForce(loadControl bool) bool {
 	switch c {
 	case CompressionOn:
--- a/internal/config/loadcontrol.go
+++ b/internal/config/loadcontrol.go
@@ -44,7 +44,7 @@
 	return c.countLargeAnswers() > 0
 }
 
-// LoadControlPart is a part of load control that can be switched off by itself.
+// LoadControlPart is a part of load control that can be switched off separately.
 type LoadControlPart string
 
 // The parts of load control.
@@ -53,14 +53,16 @@
 	NestedFirst LoadControlPart = "nested-first"
 	// RunLimits: fewer requests of a route start while nested calls of its runs are refused.
 	RunLimits LoadControlPart = "run-limits"
-	// ReturningCalls: callers that retry are told from others by the time that callers
-	// usually allow, and limits of workspaces grant first-time calls first.
+	// ReturningCalls: retries by callers are recognized by the time that callers usually allow,
+	// and limits of workspaces admit first-time calls first.
 	ReturningCalls LoadControlPart = "returning-calls"
 	// Pace: waits and selection use the pace that upstreams report.
 	Pace LoadControlPart = "pace"
-	// CrossDomainCost: bytes between failure domains cost the selection more.
+	// CrossDomainCost: the selection of an upstream multiplies the cost of bytes to other failure
+	// domains.
 	CrossDomainCost LoadControlPart = "cross-domain-cost"
-	// FutileRetries: calls that no owner can serve before their deadline are not retried.
+	// FutileRetries: calls that an owner refuses as overload with a retry-after beyond their
+	// deadline are not retried.
 	FutileRetries LoadControlPart = "futile-retries"
 )
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -13,11 +13,11 @@
 const (
 	// longBodyLinkShare is the share of a VM's link that long bodies may use. The rest is
 	// for the calls that upstreams make while they hold slots, for responses and for
-	// control traffic: these are short, and each one that waits behind a long body delays
-	// whoever waits for it. At 0.7 of 6 Mbit/s a body of 60 KB takes 114 ms.
+	// control traffic: these messages are short, and a long body ahead of one delays its
+	// receiver. At 0.7 of 6 Mbit/s a body of 60 KB takes 114 ms.
 	longBodyLinkShare = 0.7
 	// maxBodyWait is the longest time that a body waits before it may be sent. Longer
-	// queues transfer no more bodies; they only make all of them late.
+	// queues transfer no more bodies and only add delay.
 	maxBodyWait = time.Second
 	// bitsPerMegabit and bitsPerByte convert the link speed in Mbit/s to bytes per
 	// second.
@@ -39,7 +39,7 @@
 	freeAt time.Time
 }
 
-// New returns the schedule of a link with this speed in Mbit/s. Zero: the link has no limit.
+// New returns a queue for a link with this bandwidth in Mbit/s. Zero: the link has no limit.
 func New(linkMbps float64, now func() time.Time) *Queue {
 	return &Queue{rate: longBodyLinkShare * linkMbps * bitsPerMegabit / bitsPerByte, now: now}
 }
@@ -52,36 +52,36 @@
 
 // Reserve schedules a body. False: it would wait too long or arrive after the deadline;
 // after is then the retry-after.
-func (q *Queue) Reserve(size int64, deadline time.Time) (t Reservation, after time.Duration, ok bool) {
+func (q *Queue) Reserve(size int64, deadline time.Time) (r Reservation, after time.Duration, ok bool) {
 	if q.rate == 0 {
 		return Reservation{}, 0, true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	t = Reservation{start: later(now, q.freeAt), duration: time.Duration(float64(size) / q.rate * float64(time.Second))}
-	wait := t.start.Sub(now)
-	if wait > maxBodyWait || t.start.Add(t.duration).After(deadline) {
+	r = Reservation{start: later(now, q.freeAt), duration: time.Duration(float64(size) / q.rate * float64(time.Second))}
+	wait := r.start.Sub(now)
+	if wait > maxBodyWait || r.start.Add(r.duration).After(deadline) {
 		return Reservation{}, min(max(wait, outcome.MinRetryAfter), outcome.MaxRetryAfter), false
 	}
-	q.freeAt = t.start.Add(t.duration)
-	return t, 0, true
+	q.freeAt = r.start.Add(r.duration)
+	return r, 0, true
 }
 
 // Cancel frees a reservation that was not used.
-func (q *Queue) Cancel(t Reservation) {
+func (q *Queue) Cancel(r Reservation) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.freeAt = q.freeAt.Add(-t.duration)
+	q.freeAt = q.freeAt.Add(-r.duration)
 }
 
 // Remaining returns how long it takes until a reserved body may be sent; zero or less: it may
 // be sent now.
-func (q *Queue) Remaining(t Reservation) time.Duration {
-	if t.start.IsZero() {
+func (q *Queue) Remaining(r Reservation) time.Duration {
+	if r.start.IsZero() {
 		return 0
 	}
-	return t.start.Sub(q.now())
+	return r.start.Sub(q.now())
 }
 
 // Wait returns how long a body that arrives now would have to wait.
--- a/internal/pick/contention.go
+++ b/internal/pick/contention.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// maxContentionFactor multiplies the cost of bytes to another failure domain that is as
-	// full as this one: a call that leaves its domain then displaces a call there, which in
-	// turn leaves its own.
+	// maxContentionFactor multiplies the cost of bytes to another failure domain that refuses
+	// as many calls as this one: a call that leaves its domain then displaces a call there,
+	// which in turn leaves its own domain.
 	maxContentionFactor = 8
 	// minOwnRefusals is the refusal rate of the owners in this failure domain below which
-	// calls need not leave it for lack of capacity.
+	// calls have no reason to leave the domain for lack of capacity.
 	minOwnRefusals = 0.01
 )
 
@@ -24,9 +24,10 @@
 }
 
 // contentionFactor multiplies the cost of the bytes that a call to an upstream in another
-// failure domain sends between domains. It falls to 1 the more calls owners refuse in this
-// domain and the fewer there: demand that peaks in one domain at a time is served where there
-// is room. It does not count against maxCrossDomainCost.
+// failure domain sends between domains. The factor falls towards 1 as the owners of this domain
+// refuse more calls and those of the other domain fewer: a peak of demand in one domain is then
+// served by domains with free capacity. The factor is not part of the cost that is compared
+// with maxCrossDomainCost.
 func (p *Picker) contentionFactor(u *view.Upstream, c Criteria, now time.Time) float64 {
 	s := p.refusals[u.Service]
 	switch {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -29,8 +29,8 @@
 	// Tried are the IDs of the upstreams that were tried for this call before. They are
 	// not picked again.
 	Tried []string
-	// RefusedIn are the failure domains of the owners that refused this call for want of
-	// room, one entry for each.
+	// RefusedIn are the failure domains of the owners that refused this call for lack of
+	// capacity, one entry for each owner.
 	RefusedIn []string
 }
 
@@ -139,7 +139,7 @@
 	return best
 }
 
-// domainBytesCost returns what the bytes of a call cost if it is sent to another failure domain.
+// domainBytesCost returns the cost of the bytes of a call that is sent to another failure domain.
 func (p *Picker) domainBytesCost(c Criteria, compressed bool) float64 {
 	bytes := c.Bytes
 	if compressed {
--- a/internal/pick/refusals.go
+++ b/internal/pick/refusals.go
@@ -16,14 +16,15 @@
 	// reason to leave the failure domain.
 	refusalCost = 1
 	// ownerRefusalWeight is the weight of the newest attempt in an owner's refusal rate,
-	// domainRefusalWeight in that of a service's owners in a failure domain, and
-	// serviceRefusalWeight in that of all its owners.
+	// domainRefusalWeight in the rate of a service's owners in a failure domain, and
+	// serviceRefusalWeight in the rate of all owners of the service.
 	ownerRefusalWeight   = 0.3
 	domainRefusalWeight  = 0.05
 	serviceRefusalWeight = 0.02
-	// refusalDecayTime is the time constant with which the refusal rate of a failure domain
-	// decays towards that of all owners of the service, and the rate of an owner towards the
-	// same, or under contention towards that of its failure domain.
+	// refusalDecayTime is the time constant with which refusal rates decay. The rate of a
+	// failure domain decays towards the rate of all owners of the service. The rate of an owner
+	// decays towards the rate of its failure domain under contention, otherwise towards the rate
+	// of all owners.
 	refusalDecayTime = 2 * time.Second
 )
 
@@ -63,13 +64,13 @@
 	return math.Exp(-float64(now.Sub(r.updatedAt)) / float64(refusalDecayTime))
 }
 
-// decayed returns the rate for an urgency, as decayed towards that in means.
+// decayed returns the rate for an urgency, decayed towards the rate in means.
 func (r *refusalRates) decayed(means *refusalRates, urgency config.Urgency, now time.Time) float64 {
 	mean := means.byUrgency[urgency]
 	return mean + r.remainingWeight(now)*(r.byUrgency[urgency]-mean)
 }
 
-// decay applies the decay towards means.
+// decay decays all rates towards those in means.
 func (r *refusalRates) decay(means *refusalRates, now time.Time) {
 	for u := range r.byUrgency {
 		r.byUrgency[u] = r.decayed(means, config.Urgency(u), now)
@@ -110,7 +111,8 @@
 		s.byDomain[u.Domain] = domain
 	}
 	domain.decay(&s.all, now)
-	// The same mean as in refusalRate: with a lower one, a refusal could improve an owner's rate.
+	// The mean must be that of refusalRate: with a lower mean, a refusal could lower an owner's
+	// rate.
 	if p.contention {
 		st.refusals.decay(domain, now)
 	} else {
@@ -122,8 +124,8 @@
 }
 
 // refusalRate returns the estimated fraction of the calls of an urgency that an owner
-// refuses. An owner without recent calls counts like the mean of its service, or under
-// contention of its failure domain; otherwise a daemon in a fleet of hundreds would send its
+// refuses. An owner without recent calls has the mean rate of its service, or under contention
+// the mean rate of its failure domain. Otherwise a daemon in a fleet of hundreds would send its
 // calls to the owners that it knows nothing about.
 func (p *Picker) refusalRate(u *view.Upstream, st *stats, urgency config.Urgency, now time.Time) float64 {
 	s := p.refusals[u.Service]
@@ -150,8 +152,8 @@
 }
 
 // afterRefusals returns the chance that an owner refuses a call which n other owners of its
-// failure domain have refused: each refusal halves the chance that there is room, since the
-// owners of a domain share its demand.
+// failure domain have refused: each refusal halves the chance that the owner accepts the call,
+// since the owners of a domain share its demand.
 func afterRefusals(refused float64, n int) float64 {
 	return 1 - math.Ldexp(1-refused, -n)
 }
--- a/internal/pick/routestats.go
+++ b/internal/pick/routestats.go
@@ -9,7 +9,7 @@
 	// headerBytes is the size of a call's headers on the way to another VM and back,
 	// without its bodies.
 	headerBytes = 900
-	// CompressedHeaderBytes is that size where calls are compressed.
+	// CompressedHeaderBytes is the size of a call's headers both ways if the call is compressed.
 	CompressedHeaderBytes = 240
 	// routeWeight is the weight of the newest answer in a route's means.
 	routeWeight = 0.1
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -1,6 +1,7 @@
 // Package ratelimit keeps the rate limit that an upstream states in its responses, and decides
-// which of several statements holds: responses arrive in another order than the upstream wrote
-// them, and other daemons may know of a limit first. It does no I/O; the clock is passed in.
+// which of several stated limits is in force: responses may arrive in another order than the
+// upstream wrote them, and other daemons may know of a limit first. It does no I/O; the clock is
+// passed in.
 package ratelimit
 
 import (
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -34,7 +34,7 @@
 }
 
 // TestLimitIsRecalledUntilTheUpstreamAnswers: a daemon that has just started takes the lowest
-// limit that other daemons know of, until the upstream says itself what holds.
+// limit that other daemons know of, until the upstream responds itself.
 func TestLimitIsRecalledUntilTheUpstreamAnswers(t *testing.T) {
 	is := is.New(t)
 	l := New(func(float64) {})
--- a/internal/retry/attempts.go
+++ b/internal/retry/attempts.go
@@ -9,16 +9,17 @@
 // Attempts records the attempts of one call so far.
 type Attempts struct {
 	upstreams []string
-	// reached is the number of attempts that an upstream may have received, refused the
-	// number of those that an owner had no room for.
+	// reached is the number of attempts that an upstream may have received. refused is the
+	// number of attempts that owners refused for lack of capacity.
 	reached int
 	refused int
-	// refusedIn are the failure domains of the owners that had no room. Refusals of suspects
-	// say nothing about them.
+	// refusedIn are the failure domains of the owners that refused the call for lack of
+	// capacity, one entry for each owner. Refusals of suspects are left out: they depend on
+	// the request, not on the capacity of the owner.
 	refusedIn []string
 	last      outcome.Result
-	// answer is the response of an upstream that failed, kept in case no attempt does
-	// better.
+	// answer is the last response of an upstream. A failed one is returned to the caller if no
+	// later attempt gets a response.
 	answer *outcome.Result
 	// unknown is the last attempt that may have run without a response.
 	unknown *outcome.Result
@@ -26,68 +27,68 @@
 
 // Add records the result of an attempt at an upstream of a failure domain. It closes the body of
 // an earlier answer that the new one replaces.
-func (t *Attempts) Add(upstream, domain string, r outcome.Result) {
-	t.upstreams = append(t.upstreams, upstream)
+func (a *Attempts) Add(upstream, domain string, r outcome.Result) {
+	a.upstreams = append(a.upstreams, upstream)
 	if r.Reached() {
-		t.reached++
+		a.reached++
 	}
 	if r.RefusedForCapacity() {
-		t.refused++
+		a.refused++
 	}
 	if r.RefusedForCapacity() && !r.RefusedAsSuspect() {
-		t.refusedIn = append(t.refusedIn, domain)
+		a.refusedIn = append(a.refusedIn, domain)
 	}
-	if t.answer != nil && r.Outcome == outcome.Answered {
-		t.answer.Body.Close()
-		t.answer = nil
+	if a.answer != nil && r.Outcome == outcome.Answered {
+		a.answer.Body.Close()
+		a.answer = nil
 	}
-	t.last = r
+	a.last = r
 	if r.Outcome == outcome.Answered {
-		t.answer = &r
+		a.answer = &r
 	}
 	if r.Outcome == outcome.Unknown {
-		t.unknown = &r
+		a.unknown = &r
 	}
 }
 
 // Upstreams returns the IDs of the upstreams tried so far.
-func (t *Attempts) Upstreams() []string { return t.upstreams }
+func (a *Attempts) Upstreams() []string { return a.upstreams }
 
-// RefusedIn returns the failure domains of the owners that had no room for the call, one entry for
-// each.
-func (t *Attempts) RefusedIn() []string { return t.refusedIn }
+// RefusedIn returns the failure domains of the owners that refused the call for lack of capacity,
+// one entry for each owner.
+func (a *Attempts) RefusedIn() []string { return a.refusedIn }
 
 // Reached reports whether an upstream may have received one of the attempts.
-func (t *Attempts) Reached() bool { return t.reached > 0 }
+func (a *Attempts) Reached() bool { return a.reached > 0 }
 
 // Last returns the result of the last attempt.
-func (t *Attempts) Last() outcome.Result { return t.last }
+func (a *Attempts) Last() outcome.Result { return a.last }
 
 // Best returns the most useful result of the attempts: an upstream's response if there is
 // one, otherwise a result that does not understate what happened. A call that was refused
 // after an attempt that may have run must not be reported as not run.
-func (t *Attempts) Best() outcome.Result {
+func (a *Attempts) Best() outcome.Result {
 	switch {
-	case t.answer != nil:
-		return *t.answer
-	case t.last.Outcome == outcome.NotRun && t.unknown != nil:
-		r := *t.unknown
-		r.RetryAfter = t.last.RetryAfter
+	case a.answer != nil:
+		return *a.answer
+	case a.last.Outcome == outcome.NotRun && a.unknown != nil:
+		r := *a.unknown
+		r.RetryAfter = a.last.RetryAfter
 		return r
 	}
-	return t.last
+	return a.last
 }
 
 // Exhausted returns the result of a call for which no upstream is left to try; refusal
 // says why. If no owner was asked, the caller is told to retry after the time at which
 // the first upstream may be asked again; if the call was refused, not before the time
-// that its last owner gave. A refusal that only says that all are full does not replace the
-// resource that the last owner named.
-func (t *Attempts) Exhausted(refusal outcome.Result) outcome.Result {
-	if len(t.upstreams) == 0 {
+// that its last owner gave. The reason of the last owner names the scarce resource; a refusal
+// with ReasonOverload does not replace it.
+func (a *Attempts) Exhausted(refusal outcome.Result) outcome.Result {
+	if len(a.upstreams) == 0 {
 		return refusal
 	}
-	r := t.Best()
+	r := a.Best()
 	if r.Outcome == outcome.NotRun {
 		if refusal.Reason != outcome.ReasonOverload || !r.RefusedForCapacity() || r.RefusedAsSuspect() {
 			r.Reason = refusal.Reason
@@ -98,9 +99,9 @@
 }
 
 // OutOfTime returns the result of a call whose deadline passed between two attempts.
-func (t *Attempts) OutOfTime() outcome.Result {
-	if len(t.upstreams) > 0 && t.Best().Outcome != outcome.NotRun {
-		return t.Best()
+func (a *Attempts) OutOfTime() outcome.Result {
+	if len(a.upstreams) > 0 && a.Best().Outcome != outcome.NotRun {
+		return a.Best()
 	}
 	return outcome.Refuse(outcome.ReasonDeadline, outcome.MinRetryAfter)
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -1,4 +1,4 @@
-// Package retry decides whether a call that got no good response is tried again at another
+// Package retry decides whether a call whose last attempt failed is retried at another
 // upstream, and holds the budgets that tie the number of retries to the number of calls. It
 // does no I/O; the clock is passed in.
 package retry
@@ -10,25 +10,24 @@
 )
 
 const (
-	// refusalRatio and refusalBurst limit the retries after an owner refused an attempt
-	// because its upstream was full. They reach no upstream and cost one hop each.
+	// refusalRatio and refusalBurst limit the retries after an owner refused an attempt for
+	// lack of capacity. A refused attempt reaches no upstream and costs one hop.
 	refusalRatio = 0.1
 	refusalBurst = 50
-	// acceptedRefund is the number of tokens returned for a retry that found room. The
-	// budget thus limits only the retries that found none; where all upstreams are full
-	// it is soon exhausted and these stop.
+	// acceptedRefund is the number of tokens returned for a retry that an owner accepted. The
+	// budget thus limits only the retries that are refused again. Where all upstreams are
+	// full, it is soon exhausted, and the retries stop.
 	acceptedRefund = 1
-	// maxFullOwners is the maximum number of owners without room that a call tries. With
-	// a hundred daemons, each receives the load of an upstream only every few seconds, so
-	// that the first owners tried are as likely to be full as any.
+	// maxFullOwners is the number of refusals for lack of capacity after which a call is not
+	// retried. With a hundred daemons, each receives the load of an upstream only every few
+	// seconds, so that the first owners tried are as likely to be full as any.
 	maxFullOwners = 4
-	// budgetShare is the fraction of the permitted retries that daemons plan with.
-	// The rest covers the bursts of daemons that restart and of calls that arrive in
-	// waves.
+	// budgetShare is the fraction of the permitted retries that the budgets grant. The rest
+	// covers the bursts of daemons that restart and bursts of calls.
 	budgetShare = 0.7
 	// FailureShare is the fraction of the permitted retries that may follow an
-	// upstream's own failure. What made it fail once, usually a nested call that found no
-	// room, is likely to make it fail again.
+	// upstream's own failure. Its cause, usually a nested call that was refused, is likely to
+	// make the retry fail too.
 	FailureShare = 0.3
 	// FailureBurst is the maximum number of unused retries after upstreams' own failures that a
 	// daemon accumulates for a service.
@@ -50,12 +49,12 @@
 // Policy decides on the retries of a daemon's calls. It is safe for concurrent use.
 type Policy struct {
 	now func() time.Time
-	// retries limits the retries that may reach upstreams, refusals those after an owner
-	// refused an attempt because its upstream was full.
+	// retries limits the retries that may reach upstreams. refusals limits the retries after an
+	// owner refused an attempt for lack of capacity.
 	retries  *budget
 	refusals *budget
-	// failures limits the retries after an upstream's own failure. They are charged to
-	// retries as well.
+	// failures limits the retries after an upstream's own failure. These retries are charged to
+	// the budget retries as well.
 	failures *budget
 }
 
@@ -74,8 +73,8 @@
 	Service string
 	// Nested is set if an upstream makes the call for a request that it is running.
 	Nested bool
-	// NestedFirst is set if owners admit nested calls before direct ones, and AvoidFutile if
-	// calls that no owner can serve before their deadline are not tried again.
+	// NestedFirst is set if owners admit nested calls before direct ones. AvoidFutile is set if
+	// calls refused as overload with a retry-after beyond their deadline are not retried.
 	NestedFirst, AvoidFutile bool
 	// Repeatable is set if the call may run more than once.
 	Repeatable bool
@@ -84,11 +83,11 @@
 	Deadline   time.Time
 }
 
-// Decision is the answer to the question whether a call may be tried again.
+// Decision says whether a call may be retried.
 type Decision struct {
 	Retry bool
-	// FoundRoom is set if the last attempt was accepted after another owner had refused the
-	// call as full.
+	// FoundRoom is set if the last attempt was not refused for lack of capacity, after another
+	// owner had refused the call for it.
 	FoundRoom bool
 	// OverBudget is set if a budget did not allow a retry that was allowed otherwise.
 	OverBudget bool
@@ -105,21 +104,21 @@
 // first attempt on.
 func (p *Policy) ChargeRepeat(service string) { p.retries.charge(service) }
 
-// Decide decides whether a call may be tried again after its last attempt. It spends the
+// Decide decides whether a call may be retried after its last attempt. It spends tokens of the
 // budgets that apply.
-func (p *Policy) Decide(c Call, t *Attempts) Decision {
-	foundRoom := t.refused > 0 && !t.last.RefusedForCapacity()
+func (p *Policy) Decide(c Call, attempts *Attempts) Decision {
+	foundRoom := attempts.refused > 0 && !attempts.last.RefusedForCapacity()
 	if foundRoom {
 		p.refusals.add(refusalKey(c), acceptedRefund)
 	}
-	d := p.decide(c, t)
+	d := p.decide(c, attempts)
 	d.FoundRoom = foundRoom
 	return d
 }
 
 // decide returns the decision without FoundRoom.
-func (p *Policy) decide(c Call, t *Attempts) Decision {
-	r := t.last
+func (p *Policy) decide(c Call, attempts *Attempts) Decision {
+	r := attempts.last
 	switch {
 	case r.Outcome == outcome.Answered && !UpstreamFailed(r):
 		return Decision{}
@@ -134,10 +133,10 @@
 		return Decision{}
 	case r.Reason == outcome.ReasonDeadline || r.Reason == outcome.ReasonCancelled || r.Reason == outcome.ReasonDuplicate:
 		return Decision{}
-	case len(t.upstreams) >= maxOwners:
+	case len(attempts.upstreams) >= maxOwners:
 		return Decision{}
 	case r.RefusedForCapacity():
-		if t.refused >= maxFullOwners {
+		if attempts.refused >= maxFullOwners {
 			return Decision{}
 		}
 		return spend(p.refusals, refusalKey(c))
@@ -146,7 +145,7 @@
 		// planned stop must not use up the budget.
 		return Decision{Retry: true}
 	}
-	if t.reached > c.MaxRetries {
+	if attempts.reached > c.MaxRetries {
 		return Decision{}
 	}
 	if UpstreamFailed(r) {
@@ -163,9 +162,9 @@
 	return Decision{Retry: allowed, OverBudget: !allowed}
 }
 
-// futile reports whether a call that was refused as overload need not be tried elsewhere:
-// the upstream that was expected to serve it first has no room before its deadline. It
-// reports false unless AvoidFutile is set.
+// futile reports whether a retry of a call that was refused as overload is futile: the upstream
+// that was expected to serve the call first has no free slot before the deadline of the call.
+// It reports false unless AvoidFutile is set.
 func (p *Policy) futile(c Call, r outcome.Result) bool {
 	if r.Reason != outcome.ReasonOverload || !c.AvoidFutile {
 		return false
@@ -173,9 +172,9 @@
 	return p.now().Add(r.RetryAfter).After(c.Deadline)
 }
 
-// refusalKey returns the key of the refusal budget for a call: that of its service. With
-// NestedFirst, nested calls have their own: owners have room for them while they refuse direct
-// calls, whose retries would use up the budget.
+// refusalKey returns the key of the refusal budget for a call: its service. With NestedFirst,
+// nested calls have a budget of their own: owners accept nested calls while they refuse direct
+// calls, whose retries would use up a common budget.
 func refusalKey(c Call) string {
 	if c.Nested && c.NestedFirst {
 		return c.Service + "\x00nested"
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -25,18 +25,18 @@
 
 // after returns the attempts of a call that had these results, each at another upstream.
 func after(results ...outcome.Result) *Attempts {
-	var t Attempts
+	var attempts Attempts
 	for i, r := range results {
-		t.Add(string(rune('a'+i)), "d", r)
+		attempts.Add(string(rune('a'+i)), "d", r)
 	}
-	return &t
+	return &attempts
 }
 
 func answer(status int) outcome.Result {
 	return outcome.Result{Outcome: outcome.Answered, Status: status, Body: http.NoBody}
 }
 
-// TestDecisionsByResult covers which results of attempts let a call be tried again. A wrong
+// TestDecisionsByResult covers which results of attempts let a call be retried. A wrong
 // retry runs a call twice that must not run twice, or multiplies the load at a service; a
 // missing one fails a call that another upstream would have served.
 func TestDecisionsByResult(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -210,8 +210,8 @@
 	// run-limits, returning-calls, pace, cross-domain-cost, futile-retries. Default: none.
 	LoadControlOff []config.LoadControlPart `yaml:"load_control_off"`
 	// Compress says when calls to other failure domains are compressed: auto, on or off.
-	// Only those to daemons that accept it are. Default: auto, which is where load control
-	// is in force.
+	// Calls to daemons that do not accept compressed connections never are. Default: auto,
+	// which is where load control is in force.
 	Compress config.Compression `yaml:"compress"`
 	// Drain is how long callers take to notice that a daemon is stopping. A stopping
 	// daemon keeps accepting calls for this long, but no longer than 0.4 of bounds.stop.
--- a/internal/system/crossdomain_test.go
+++ b/internal/system/crossdomain_test.go
@@ -250,7 +250,7 @@
 			}
 			for _, node := range dead {
 				if c.powerLost {
-					f.loseSilently(node)
+					f.losePower(node)
 				} else {
 					f.kill(node)
 				}
@@ -265,8 +265,8 @@
 	}
 }
 
-// loseSilently stops a daemon as a loss of power does: its connections are not closed.
-func (f *fleet) loseSilently(node *testNode) {
+// losePower stops a daemon without closing its connections.
+func (f *fleet) losePower(node *testNode) {
 	node.alive, node.powerLost = false, true
 	for _, p := range f.pipes {
 		p.closed = p.closed || p.a == node || p.b == node
--- a/internal/system/cutoffroots_test.go
+++ b/internal/system/cutoffroots_test.go
@@ -7,7 +7,7 @@
 
 // TestRootsCutOffFromOtherDomains guards against a failure domain that gets no new version and whose
 // changes stay unknown, because its roots run but reach neither the store nor other failure domains:
-// the other daemons of the domain, which do, must take over.
+// other daemons of the domain, which reach other domains, must take over.
 func TestRootsCutOffFromOtherDomains(t *testing.T) {
 	const within = 15 * time.Second // a change must be in force by then
 	f := newFleet(t, 30)
--- a/internal/system/discovery.go
+++ b/internal/system/discovery.go
@@ -27,8 +27,8 @@
 	// maxSeedDials bounds the seeds dialed in one attempt.
 	maxSeedDials = 3
 	// maxOwnSeedDials bounds the seeds of its own failure domain that a daemon dials in one attempt.
-	// Two connections per daemon are enough to connect all daemons of a domain that starts; a
-	// third one only sends every record once more.
+	// Two connections per daemon are enough to connect all daemons of a domain that starts; with
+	// a third one, every record is only sent once more.
 	maxOwnSeedDials = 2
 )
 
@@ -80,8 +80,9 @@
 }
 
 // dialSeeds dials seeds on a daemon without connections: those of its own failure domain if ownOnly
-// is set and some may be dialed, otherwise one of them and seeds of other and unknown domains. Until
-// the daemon is connected in its own domain, all that it learns and tells crosses between domains.
+// is set and some of them may be dialed, otherwise one of its own domain and others of other or
+// unknown domains. Until the daemon is connected in its own domain, all records that it receives and
+// sends cross between domains.
 func dialSeeds(w *table.World, now time.Time, ownOnly bool, out *Outbox) {
 	var own, others []string
 	for _, i := range w.Rand.Perm(len(w.Seeds)) {
@@ -95,12 +96,12 @@
 		}
 	}
 	w.OwnSeedsDialed = ownOnly && len(own) > 0
-	list := own[:min(maxOwnSeedDials, len(own))]
+	addrs := own[:min(maxOwnSeedDials, len(own))]
 	if !w.OwnSeedsDialed {
-		list = append(own[:min(1, len(own))], others...)
-		list = list[:min(maxSeedDials, len(list))]
+		addrs = append(own[:min(1, len(own))], others...)
+		addrs = addrs[:min(maxSeedDials, len(addrs))]
 	}
-	for _, addr := range list {
+	for _, addr := range addrs {
 		dial(w, addr, false, out)
 	}
 }
@@ -125,7 +126,7 @@
 		return // each partition has a root that looks for the others
 	}
 	if len(w.Links) > 0 && !isSettled(w, now) {
-		return // the other daemons of this partition supply their members first
+		return // the peers of this partition send the members that they know first
 	}
 	out.FindSeeds = len(w.Links) == 0 || w.FindEvery > 0
 	if !w.SeedsFound && len(w.Links) == 0 {
--- a/internal/system/gossip.go
+++ b/internal/system/gossip.go
@@ -95,11 +95,12 @@
 }
 
 // exchangesWith reports whether this daemon forwards changes of members on the connection, and
-// requests what it lacks there. Between failure domains only the roots do so, and daemons that have
-// no connection in their own domain. While many daemons start, most have connections to other
-// domains for some seconds. If all of them used these, each record would cross between domains once
-// for every daemon. A connection that stays open for longer is needed by a root of the other domain,
-// which has not reached the roots of this one.
+// requests the records and the configuration that it lacks there. Between failure domains only the
+// roots do so, and daemons that have no connection in their own domain. While many daemons start,
+// most have connections to other domains for some seconds. If all daemons exchanged records on
+// these connections, each record would cross between domains once for every daemon. A connection
+// that stays open for longer is needed by a root of the other domain, which has not reached the
+// roots of this one.
 func exchangesWith(w *table.World, now time.Time, l *table.Link) bool {
 	return l.Domain == w.Self.Domain || linksDomains(w, now) || !connectedInDomain(w) ||
 		now.Sub(l.Opened) > unwantedGrace+w.Params.Heartbeat
--- a/internal/system/gossip_test.go
+++ b/internal/system/gossip_test.go
@@ -13,8 +13,8 @@
 
 // TestChangesCrossDomainsByRootsOnly guards against daemons that exchange members with another
 // failure domain although a root of their own domain does: a start then costs the square of the
-// fleet in bytes between domains. A daemon without a connection in its own domain must do so, since
-// nobody else does it for it.
+// fleet in bytes between domains. A daemon without a connection in its own domain must exchange
+// members with other domains, since no root of its domain can supply it.
 func TestChangesCrossDomainsByRootsOnly(t *testing.T) {
 	now := time.Unix(1010, 0)
 	for _, c := range []struct {
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -88,7 +88,7 @@
 		l.Met = true
 		w.ClearBackoff(l.Addr)
 		if slices.Contains(w.Seeds, l.Addr) {
-			w.SeedDomains[l.Addr] = h.Domain // the log may list an address under an earlier daemon
+			w.SeedDomains[l.Addr] = h.Domain // the log may list the domain of an earlier daemon for this address
 		}
 	} else {
 		sendHello(w, now, l, out)
--- a/internal/system/startreads.go
+++ b/internal/system/startreads.go
@@ -16,13 +16,13 @@
 // supply the others, which then only read the end of the log.
 
 // unsettledWaitFraction is the longest wait of a daemon whose role is unsettled before it
-// reads the log, as a fraction of the time within which a change must be in force. The
-// remainder is left for distributing what it reads.
+// reads the log, as a fraction of Params.InForce, the time within which a change must be in
+// force. The remainder is left for distributing the changes that the daemon reads.
 const unsettledWaitFraction = 0.5
 
-// startPeriods is the time after the start of a daemon for which its role may be unsettled, in
-// times within which a change must be in force. Later its members differ from those of its
-// peers because others start, and the roots must go on reading.
+// startPeriods is the time after the start of a daemon for which its role may be unsettled, as a
+// multiple of Params.InForce. A later difference between its members and those of its peers means
+// that other daemons start; the roots must go on reading then.
 const startPeriods = 2
 
 // isSettled reports whether this daemon's role is reliable: its members match those of a peer,
@@ -79,14 +79,14 @@
 	return now.Before(first.Add(unsettledWait(w, estimatedRank(w.Self))))
 }
 
-// unsettledWait returns a fraction of the longest wait of a daemon whose role is unsettled.
+// unsettledWait returns the given fraction of the longest wait of a daemon whose role is unsettled.
 func unsettledWait(w *table.World, fraction float64) time.Duration {
 	return time.Duration(fraction * unsettledWaitFraction * float64(w.Params.InForce))
 }
 
 // estimatedRank estimates the rank of a member in the order of its failure domain, as a fraction
-// from 0 for the first to 1 for the last, without knowing the other members: the order is that of
-// narrowness and hash.
+// from 0 for the first to 1 for the last, without knowing the other members: members are ordered
+// by narrowness, then by hash.
 func estimatedRank(m wire.Member) float64 {
 	n := float64(narrowness(m))
 	return (n + float64(rankHash(m.Domain, m.ID))/math.MaxUint64) / (n + 1)
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -117,8 +117,8 @@
 	ReadWait time.Duration
 	// ReadAfter is the earliest time at which that read may begin.
 	ReadAfter time.Time
-	// ReadWithoutWait is set if that read must not wait for a new record: until a read has reached
-	// the end of the log, a reader is not ready.
+	// ReadWithoutWait is set if that read must not wait for a new record: a daemon that reads the
+	// log is not ready until a read has reached the end of the log.
 	ReadWithoutWait bool
 	// Append is a record to append to the configuration stream, or nil.
 	Append []byte
--- a/internal/system/topology.go
+++ b/internal/system/topology.go
@@ -106,10 +106,10 @@
 		rank = len(own) // this daemon is leaving: it stays connected to the tree as a leaf
 	}
 	w.MembersTree.Rank = rank
-	parent, settled := findParent(w, now, own, rank, wanted, out)
+	parent, searchEnded := findParent(w, now, own, rank, wanted, out)
 	w.MembersTree.Parent = parent
 	updateOrphan(w, now)
-	if settled || orphaned(w, now) {
+	if searchEnded || orphaned(w, now) {
 		w.MembersTree.Root = parent == "" || rank < w.Params.Roots
 	}
 	wasJoined := w.MembersTree.JoinedDomain
@@ -151,7 +151,7 @@
 	}
 }
 
-// updateOrphan records since when this daemon searches for a parent. The first member of a
+// updateOrphan records when this daemon began to search for a parent. The first member of a
 // failure domain does not search.
 func updateOrphan(w *table.World, now time.Time) {
 	switch {
@@ -245,26 +245,27 @@
 	return list
 }
 
-// matchedRoleFraction divides the heartbeat interval to give the time after which the role of a root
-// whose members match those of a peer is reliable.
-const matchedRoleFraction = 3
+// matchedRoleDivisor divides the heartbeat interval. The quotient is the time after which a root
+// whose members match those of a peer connects to other failure domains. A whole heartbeat would
+// delay a failure domain that restarts: its daemons are not ready before one has asked other domains.
+const matchedRoleDivisor = 3
 
 // linksDomains reports whether this daemon connects its failure domain to the others. A root does
-// so a heartbeat after it became one and had its first connection in its own domain, or sooner if
-// its members match those of a peer. A daemon that has just started knows few members and therefore
-// ranks first among them: without the delay, most daemons of a fleet that starts would connect to
-// other domains and exchange all records there.
+// so a heartbeat after it became a root and, if it has peers there, after its first connection in
+// its own domain, or after a third of that time if its members match those of a peer. A daemon that
+// has just started knows few members and therefore ranks first among them: without the delay, most
+// daemons of a fleet that starts would connect to other domains and exchange all records there.
 func linksDomains(w *table.World, now time.Time) bool {
 	if !w.MembersTree.Root {
 		return false
 	}
 	sinceChange := now.Sub(w.MembersTree.RoleChangedAt)
-	return sinceChange >= w.Params.Heartbeat || sinceChange >= w.Params.Heartbeat/matchedRoleFraction && membersMatchPeer(w)
+	return sinceChange >= w.Params.Heartbeat || sinceChange >= w.Params.Heartbeat/matchedRoleDivisor && membersMatchPeer(w)
 }
 
 // connectDomains connects a root to one root of every other failure domain. A daemon that has become
-// a root because those before it have died tries the first roots there too: only the
-// roots of the other domain forward changes at once.
+// a root because those before it have died tries the first roots of the other domain too: only roots
+// forward changes at once.
 func connectDomains(w *table.World, now time.Time, rank int, wanted map[string]bool, out *Outbox) {
 	for _, domain := range knownDomains(w) {
 		if domain == w.Self.Domain {
@@ -297,12 +298,12 @@
 }
 
 // parallelSeedDials is the number of seeds of another failure domain that a root dials at the same
-// time: some of the addresses on the log belong to daemons that no longer run.
+// time. More than one, because some of the addresses on the log belong to daemons that no longer run.
 const parallelSeedDials = 2
 
 // connectSeeds connects a root to a seed of a failure domain of which it knows no members yet.
-// While all daemons of a domain start with the seeds of their own domain, it can be that none of
-// them knows a member of another domain.
+// Daemons that start dial seeds of their own domain first, so that after a start of the whole domain
+// none of them may know a member of another domain.
 func connectSeeds(w *table.World, now time.Time, domain string, wanted map[string]bool, out *Outbox) {
 	for _, l := range w.Links {
 		if l.Up() && !l.Probe && l.Domain == domain {
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -165,8 +165,8 @@
 	// SeedDomains holds the failure domains of the seeds for which it is known: from the log, or
 	// from the last connection to the seed.
 	SeedDomains map[string]string
-	// OwnSeedsDialed is set if this daemon last dialed only seeds of its own failure domain, and
-	// has not been connected since.
+	// OwnSeedsDialed is set if the last seeds that this daemon dialed were all of its own failure
+	// domain, and it has had no connection since.
 	OwnSeedsDialed bool
 	// Ready is set once the daemon may serve calls: it has connected to peers or found
 	// none, and the configuration held is no older than the one that it had in force in
@@ -219,8 +219,8 @@
 	Root bool
 	// JoinedDomain is set once this daemon has had a connection to a peer of its own failure domain.
 	JoinedDomain bool
-	// RoleChangedAt is when this daemon last became a root, or when JoinedDomain was set if that was
-	// later.
+	// RoleChangedAt is the later of two times: when this daemon last became a root, and when
+	// JoinedDomain was set.
 	RoleChangedAt time.Time
 	// Rank is this daemon's index in the order of its failure domain.
 	Rank int
--- a/internal/tcp/tcp_linux.go
+++ b/internal/tcp/tcp_linux.go
@@ -1,5 +1,5 @@
-// Package tcp examines and configures TCP connections by their sockets, where the net package
-// offers no such function.
+// Package tcp examines the state and sets the options of TCP sockets where package net has no
+// function for it.
 package tcp
 
 import (
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -73,7 +73,8 @@
 	LimitCoordinators map[string]LimitCoordinator
 	// LoadControl is set if load control is in force.
 	LoadControl bool
-	// LoadControlOff are the parts of load control that are not in force even then.
+	// LoadControlOff are the parts of load control that are not in force even if LoadControl is
+	// set.
 	LoadControlOff []config.LoadControlPart
 	// Compress is set if compression of calls to other failure domains is in force.
 	Compress bool
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -37,8 +37,9 @@
 	is.Equal(v.Services["s"].Upstreams[0].ID, "sound/u")
 }
 
-// TestCallsAreCompressedBetweenDomainsOnly: calls to an owner that does not advertise it, to one of
-// the own failure domain, and all of them while compression is not in force, stay as they are.
+// TestCallsAreCompressedBetweenDomainsOnly guards against compressed calls to an owner that does not
+// advertise that it accepts them, to an owner of the daemon's own failure domain, and to any owner
+// while compression is not in force.
 func TestCallsAreCompressedBetweenDomainsOnly(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
@@ -49,7 +50,7 @@
 	}{
 		{config.CompressionAuto, config.LoadControlOn, true},
 		{config.CompressionAuto, config.LoadControlOff, false},
-		{config.CompressionAuto, config.LoadControlAuto, false}, // nothing to compete for
+		{config.CompressionAuto, config.LoadControlAuto, false}, // no limit, no large answers
 		{config.CompressionOn, config.LoadControlOff, true},
 		{config.CompressionOff, config.LoadControlOn, false},
 	} {
