--- a/internal/system/discovery.go
+++ b/internal/system/discovery.go
@@ -17,10 +17,10 @@
 	// after the first connection. Daemons that started at the same time have published
 	// their addresses by then.
 	minFindInterval = 2 * time.Second
-	// settledAfterGraces is the number of grace times after its start that a daemon waits
+	// probeAfterGraces is the number of grace times after its start that a daemon waits
 	// before it probes seeds that it does not know as members. While the whole fleet
 	// starts, the seeds are busy.
-	settledAfterGraces = 2
+	probeAfterGraces = 2
 	// maxFindInterval bounds the interval at which the log is read for addresses while
 	// other daemons are known.
 	maxFindInterval = 5 * time.Minute
@@ -68,7 +68,7 @@
 	findSeeds(w, now, out)
 	if len(w.Links) > 0 {
 		w.OwnSeedsDialed = false
-		if now.Sub(w.Started) >= settledAfterGraces*w.Params.Grace {
+		if now.Sub(w.Started) >= probeAfterGraces*w.Params.Grace {
 			probeSeed(w, now, out)
 		}
 		return
--- a/internal/system/discovery_test.go
+++ b/internal/system/discovery_test.go
@@ -137,7 +137,7 @@
 			if c.want {
 				return
 			}
-			now = now.Add(settledAfterGraces * w.Params.Grace)
+			now = now.Add(probeAfterGraces * w.Params.Grace)
 			w.Links[1].HeardAt, w.Links[1].EchoAt = now, now
 			is.True(!Tick(w, now, nil).PublishSelf)
 			delete(w.Members, "first") // without it, this daemon reads the log
--- a/internal/system/log.go
+++ b/internal/system/log.go
@@ -250,7 +250,7 @@
 	log := &w.Log
 	// While the whole fleet starts, many daemons assume for a short time that they are a
 	// root.
-	settled := now.Sub(w.Started) >= settledAfterGraces*w.Params.Grace
+	settled := now.Sub(w.Started) >= probeAfterGraces*w.Params.Grace
 	switch {
 	case log.Listing == table.Unlisted && w.MembersTree.Root && settled:
 		log.Listing, log.NextPublish = table.Listed, now
