--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -175,7 +175,7 @@
 		return &invalidSetting{"calls.link_mbps", "must be between 0 and 1000000"}
 	case !s.Calls.LoadControl.Valid():
 		return &invalidSetting{"calls.load_control", "must be auto, on or off"}
-	case slices.ContainsFunc(s.Calls.LoadControlOff, func(p config.LoadControlPart) bool { return !p.Valid() }):
+	case slices.ContainsFunc(s.Calls.DisabledParts, func(p config.LoadControlPart) bool { return !p.Valid() }):
 		return &invalidSetting{"calls.load_control_off", fmt.Sprintf("must be a list of parts of load control: %s", config.LoadControlParts)}
 	case !s.Calls.Compress.Valid():
 		return &invalidSetting{"calls.compress", "must be auto, on or off"}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -206,9 +206,9 @@
 	// calls, workspaces' limits and the pace of upstreams. Default: auto, which is where the
 	// configuration has a workspace with a limit or a policy with large answers.
 	LoadControl config.LoadControl `yaml:"load_control"`
-	// LoadControlOff lists the parts of load control that are not in force: nested-first,
+	// DisabledParts lists the parts of load control that are not in force: nested-first,
 	// run-limits, returning-calls, pace, cross-domain-cost, futile-retries. Default: none.
-	LoadControlOff []config.LoadControlPart `yaml:"load_control_off"`
+	DisabledParts []config.LoadControlPart `yaml:"load_control_off"`
 	// Compress says when calls to other failure domains are compressed: auto, on or off.
 	// Calls to daemons that do not accept compressed connections never are. Default: auto,
 	// which is where load control is in force.
@@ -312,6 +312,6 @@
 		Probe: time.Duration(c.Probe), Checkpoint: time.Duration(s.Log.Retention) / checkpointsPerRetention,
 		Seeds: c.Peers, Domains: len(s.FailureDomains),
 		InForce: time.Duration(s.Bounds.InForce), Revoke: time.Duration(s.Bounds.Revoke), Exposure: s.Bounds.Exposure,
-		LoadControl: s.Calls.LoadControl, LoadControlOff: s.Calls.LoadControlOff, Compression: s.Calls.Compress,
+		LoadControl: s.Calls.LoadControl, DisabledParts: s.Calls.DisabledParts, Compression: s.Calls.Compress,
 	}
 }
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -61,8 +61,8 @@
 	Domains int
 	// LoadControl says when load control is in force.
 	LoadControl config.LoadControl
-	// LoadControlOff are the parts of load control that are never in force.
-	LoadControlOff []config.LoadControlPart
+	// DisabledParts are the parts of load control that are never in force.
+	DisabledParts []config.LoadControlPart
 	// Compression says when calls to other failure domains are compressed.
 	Compression config.Compression
 	// Seeds are the addresses of daemons through which the others are found.
--- a/internal/view/loadcontrol_test.go
+++ b/internal/view/loadcontrol_test.go
@@ -22,12 +22,12 @@
 		return Build(table.New(wire.Member{ID: "vm"}, params, suspect.NewTable(time.Now), time.Now(), 1), nil)
 	}
 	for _, off := range config.LoadControlParts {
-		params.LoadControl, params.LoadControlOff = config.LoadControlOn, []config.LoadControlPart{off}
+		params.LoadControl, params.DisabledParts = config.LoadControlOn, []config.LoadControlPart{off}
 		v := build()
 		for _, part := range config.LoadControlParts {
 			is.Equal(v.Controls(part), part != off)
 		}
-		params.LoadControl, params.LoadControlOff = config.LoadControlOff, nil
+		params.LoadControl, params.DisabledParts = config.LoadControlOff, nil
 		is.True(!build().Controls(off))
 	}
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -73,9 +73,9 @@
 	LimitCoordinators map[string]LimitCoordinator
 	// LoadControl is set if load control is in force.
 	LoadControl bool
-	// LoadControlOff are the parts of load control that are not in force even if LoadControl is
+	// DisabledParts are the parts of load control that are not in force even if LoadControl is
 	// set.
-	LoadControlOff []config.LoadControlPart
+	DisabledParts []config.LoadControlPart
 	// Compress is set if compression of calls to other failure domains is in force.
 	Compress bool
 	// Domains is the least number of failure domains of the deployment.
@@ -108,7 +108,7 @@
 	}
 	v.Routes = routes.forState(state)
 	v.LoadControl = w.Params.LoadControl.InForce(state.Content)
-	v.LoadControlOff = w.Params.LoadControlOff
+	v.DisabledParts = w.Params.DisabledParts
 	v.Compress = w.Params.Compression.InForce(v.LoadControl)
 	v.Daemons, v.Domains = len(w.Members)+1, w.Params.Domains
 	for domain, m := range w.LimitCoordinators {
@@ -127,7 +127,7 @@
 
 // Controls reports whether a part of load control is in force.
 func (v *View) Controls(p config.LoadControlPart) bool {
-	return v.LoadControl && !slices.Contains(v.LoadControlOff, p)
+	return v.LoadControl && !slices.Contains(v.DisabledParts, p)
 }
 
 // addMember adds the upstreams of a daemon that accept calls.
