--- a/internal/compress/typical_test.go
+++ b/internal/compress/typical_test.go
@@ -34,7 +34,7 @@
 			"Accept: application/json\r\n"+
 			"Accept-Encoding: gzip\r\n"+
 			"Comfrey-Attempt: %s-%d\r\n"+
-			"Comfrey-Caller: sidecar-teller\r\n"+
+			"Comfrey-Caller: branch-teller\r\n"+
 			"Comfrey-Clock: %d\r\n"+
 			"Comfrey-Depth: 1\r\n"+
 			"Comfrey-Incarnation: 1796327601223344556\r\n"+
@@ -42,15 +42,15 @@
 			"Comfrey-Objective-Us: %d\r\n"+
 			"Comfrey-Request-Id: %s\r\n"+
 			"Comfrey-Sent-Us: %d\r\n"+
-			"Comfrey-Upstream: tickets-zone-%d-%d/1\r\n"+
+			"Comfrey-Upstream: tickets-east-%d-%d/1\r\n"+
 			"Comfrey-Urgency: %d\r\n"+
 			"Comfrey-Workspace: %s\r\n"+
 			"User-Agent: python-requests/2.32.3\r\n"+
-			"X-Caller-Service: teller\r\n"+
+			"X-Calling-Service: teller\r\n"+
 			"X-Deadline-Ms: %d\r\n"+
-			"X-Expected-Instance: %s\r\n"+
+			"X-Expected-Target: %s\r\n"+
 			"X-Request-Id: %s\r\n"+
-			"X-Tenant-Id: %s\r\n"+
+			"X-Workspace: %s\r\n"+
 			"\r\n",
 			path, r.IntN(100_000), ingress, i+1, clock, 1_500_000+r.IntN(500_000), 300_000+r.IntN(100_000), uuid(), sent,
 			3, 2, 1+r.IntN(3), workspace, 1_500+r.IntN(500), "tickets-1-17963276", uuid(), workspace))
@@ -68,7 +68,7 @@
 			"Date: Thu, 03 Dec 2026 19:%02d:%02d GMT\r\n"+
 			"Server: tickets/2.14.0\r\n"+
 			"X-Request-Id: %s\r\n"+
-			"X-Server-Load: %d,%d,8,%d\r\n"+
+			"X-Upstream-Load: %d,%d,8,%d\r\n"+
 			"\r\n",
 			clock, r.IntN(9), r.IntN(9), 4_000+r.IntN(3_000), typicalBody, i/60%60, i%60, uuid(), r.IntN(9), r.IntN(9), 90+r.IntN(30)), body...))
 	}
