Callers no longer wait until their deadline for an owner that is cut off

Callers saw: beside a failure domain that was cut off, calls that may not be repeated waited for its owner until their deadline, 5 s, and then got "unknown". Up to all 15 callers of a daemon gathered there, so that a limited upstream with free capacity got no request (TestUpstreamGetsNoMoreThanItsRateLimit).

Cause: when an inquiry about an unanswered attempt timed out, only attempts that may be repeated drew a conclusion from it. The owner was not marked down, and new calls went to it whenever other upstreams refused them.

Fix: an owner that sends nothing to any attempt while it is asked about one is marked down. An attempt that may not be repeated is given up as unknown once its owner has sent nothing for 1.5 s, the time after which an attempt sent into the cut fails. Bytes received for other attempts count, so that a narrow link does not end calls.

--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -24,6 +24,10 @@
 	// maxFailedInquiries is how many inquiries in a row may fail before the connection is
 	// given up.
 	maxFailedInquiries = 2
+	// maxOwnerSilence is how long an owner may send nothing at all before attempts that cannot
+	// be repeated are given up: as long as it takes until one that was sent after the VM was
+	// partitioned fails.
+	maxOwnerSilence = ownerAckTimeout + inquiryTimeout
 )
 
 // voidOnShutdown ends an attempt because the process is about to exit. It first asks the
@@ -71,14 +75,22 @@
 
 // monitorAttempt asks the owner over new connections whether it is working on an attempt
 // that has had no response, and cancels the attempt if its connection turns out to be
-// silent. If the owner cannot be asked, a repeatable call is better sent elsewhere; a
-// call that is not repeatable gains nothing by that, and its response may still arrive. A
-// repeatable attempt that has finished at the owner but whose response does not arrive is
-// treated as if the owner could not be asked.
+// silent. If the owner cannot be asked, a repeatable call is better sent elsewhere; the
+// response to a call that is not repeatable may still arrive, so that it is given up only
+// once the owner has sent nothing to any attempt for maxOwnerSilence. A repeatable attempt
+// that has finished at the owner but whose response does not arrive is treated as if the
+// owner could not be asked.
 func (r *remote) monitorAttempt(ctx context.Context, cancel context.CancelCauseFunc, u view.Upstream, a *Attempt, interval time.Duration) {
+	p := r.pool(u.Owner)
+	unansweredSince := time.Now().Add(-interval)
 	failed := 0
 	for failed < maxFailedInquiries && ctx.Err() == nil {
+		asked := time.Now()
 		state, err := r.inquire(ctx, pathAttempt, u, a)
+		silent := err != nil && p.lastHeard().Before(asked)
+		if silent && ctx.Err() == nil {
+			r.onOwnerUnreachable(u, timedOut(err))
+		}
 		delay := interval
 		switch {
 		case err == nil && (state == ledger.Waiting || state == ledger.Started):
@@ -89,14 +101,28 @@
 		case a.Repeatable:
 			failed++
 			delay = inquiryRetryDelay
+		case silent:
+			delay = inquiryRetryDelay
 		}
 		if !pause(ctx, delay) {
 			return
 		}
+		if silent && !a.Repeatable && time.Since(later(p.lastHeard(), unansweredSince)) >= maxOwnerSilence {
+			cancel(errOwnerSilent)
+			return
+		}
 	}
 	cancel(errSilent)
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // pause waits for the duration. False: ctx ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -132,5 +158,8 @@
 	}
 	var reply InquiryReply
 	err = json.NewDecoder(io.LimitReader(res.Body, maxInquiryBytes)).Decode(&reply)
+	if err == nil {
+		r.pool(u.Owner).recordHeard()
+	}
 	return reply.State, err
 }
--- a/internal/callpath/overload_test.go
+++ b/internal/callpath/overload_test.go
@@ -55,6 +55,8 @@
 	srv     *httptest.Server
 	workers []*worker
 	ramp    time.Duration
+	// timeout is the timeout of the routes' policy.
+	timeout time.Duration
 	client  *http.Client
 }
 
@@ -65,7 +67,7 @@
 // given service time for a request.
 func newRig(t testing.TB, workers, slots int, service time.Duration) *rig {
 	t.Helper()
-	r := &rig{t: t, method: http.MethodPost, metrics: NewMetrics(metrics.NewRegistry())}
+	r := &rig{t: t, method: http.MethodPost, timeout: 2 * time.Second, metrics: NewMetrics(metrics.NewRegistry())}
 	events := event.NewRing("vm", event.NewClock(time.Now), 64)
 	for i := range workers {
 		r.workers = append(r.workers, newWorker(t, fmt.Sprintf("w%d", i), slots, service, events, r.metrics))
@@ -146,7 +148,7 @@
 	for _, u := range []config.Urgency{config.Background, config.Normal, config.Critical} {
 		routes = append(routes, &view.Route{
 			Name: u.String(), Path: "/" + u.String(), Targets: []view.Target{{Service: "s", CumulativeShare: 1}},
-			Policy:  config.Policy{Name: "p", Urgency: u, Timeout: 2 * time.Second, Retries: 2, Repeatable: []string{"GET"}},
+			Policy:  config.Policy{Name: "p", Urgency: u, Timeout: r.timeout, Retries: 2, Repeatable: []string{"GET"}},
 			Callers: map[string]config.Caller{"c": {Name: "c"}},
 		})
 	}
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -40,6 +40,8 @@
 	compressed *compress.Metrics
 	// tokens holds one token per open connection; nil if their number is unlimited.
 	tokens chan struct{}
+	// heardAt is when anything was last received over the connections, in Unix nanoseconds.
+	heardAt atomic.Int64
 
 	mu     sync.Mutex
 	idle   []*clientConn
@@ -137,10 +139,17 @@
 		c.discard()
 		return nil, err
 	}
+	p.recordHeard()
 	res.Body = &pooledBody{Reader: res.Body, conn: c, stop: stop, reusable: !res.Close}
 	return res, nil
 }
 
+// recordHeard records that something was received from the address just now.
+func (p *pool) recordHeard() { p.heardAt.Store(time.Now().UnixNano()) }
+
+// lastHeard returns when anything was last received from the address.
+func (p *pool) lastHeard() time.Time { return time.Unix(0, p.heardAt.Load()) }
+
 func (c *clientConn) roundTrip(req *http.Request) (*http.Response, error) {
 	if req.ContentLength < outcome.LongBody {
 		if err := c.send(req); err != nil {
@@ -338,6 +347,9 @@
 // Read implements io.Reader.
 func (b *pooledBody) Read(buf []byte) (int, error) {
 	n, err := b.Reader.Read(buf)
+	if n > 0 {
+		b.conn.pool.recordHeard()
+	}
 	b.atEOF = b.atEOF || err == io.EOF
 	return n, err
 }
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -38,6 +38,9 @@
 	// errSilent is the cancellation cause of an attempt whose connection delivers nothing
 	// and whose owner is not working on it or does not answer inquiries.
 	errSilent = errors.New("connection is silent")
+	// errOwnerSilent is the cancellation cause of an attempt whose owner sends nothing to any
+	// attempt and does not answer inquiries.
+	errOwnerSilent = errors.New("owner is silent")
 	// errVoided is the cancellation cause of an attempt that its owner has voided.
 	errVoided = errors.New("attempt voided by its owner")
 )
@@ -48,9 +51,8 @@
 	inquireAfter time.Duration
 	events       *event.Ring
 	metrics      *Metrics
-	// onOwnerUnreachable is called for the upstream of an attempt if its owner does not
-	// answer an inquiry about the attempt either. silent is set if it merely did not respond
-	// in time.
+	// onOwnerUnreachable is called for the upstream of an attempt if its owner sends nothing
+	// while it is asked about the attempt. silent is set if it merely did not respond in time.
 	onOwnerUnreachable func(u view.Upstream, silent bool)
 	// domain is the failure domain of this daemon, crossDomain counts the bytes to and from
 	// others; nil: they are not counted.
@@ -77,7 +79,8 @@
 			DialContext:       dialer.DialContext,
 			DisableKeepAlives: true,
 		},
-		owners: map[string]*pool{},
+		onOwnerUnreachable: func(view.Upstream, bool) {},
+		owners:             map[string]*pool{},
 	}
 }
 
@@ -262,6 +265,13 @@
 	case errors.Is(cause, errSilent):
 		r.metrics.Silent.Inc(1)
 		p.closeIdle()
+	case errors.Is(cause, errOwnerSilent):
+		r.metrics.Silent.Inc(1)
+		p.closeIdle()
+		go r.voidAfterAnswer(context.WithoutCancel(ctx), u, a)
+		out := lostConnection(outcome.ReasonBroken, errors.WithMessage(err, errOwnerSilent.Error()))
+		out.OwnerDown, out.OwnerSilent = true, true
+		return out
 	case errors.Is(cause, errStopping):
 		// The owner has already been asked to void the attempt, and the process is about
 		// to exit.
@@ -308,7 +318,7 @@
 		return outcome.Result{}, false
 	}
 	switch cause := context.Cause(ctx); {
-	case cause == nil || errors.Is(cause, errSilent):
+	case cause == nil || errors.Is(cause, errSilent) || errors.Is(cause, errOwnerSilent):
 		out.Reason, out.RetryAfter, out.OwnerDown = outcome.ReasonUnreachable, 0, true
 		out.OwnerSilent = cause != nil || timedOut(err)
 	case errors.Is(cause, errStopping) || errors.Is(cause, errVoided):
