Requests that ran beside a poison request are no longer quarantined with it

Cause: two upstreams crash within the time that a record takes to reach the other daemons. Each daemon knows of one earlier crash, so that nothing keeps the two suspects apart, and merging the records gives both three crashes. Three crashes quarantined a request even if none was attributed to it.

Fix: a record says whether a crash is attributed to its request, and only then do three crashes quarantine it. Until then suspects run apart, so that the next crash tells which one it is. Records of earlier builds count as attributed. The simulation asks the product instead of repeating the rule.

--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -88,7 +88,7 @@
 	if rec, ok := from.suspects.Record(c.attempt.digest()); ok && len(rec.Crashes) > 0 {
 		to.suspects.Merge(rec)
 	}
-	if crashCount(to.suspects, &c.attempt) >= suspect.QuarantineThreshold {
+	if _, refused := quarantined(to.suspects, &c.attempt, s.now); refused {
 		return outcome.ReasonQuarantined
 	}
 	return ""
@@ -171,7 +171,7 @@
 // recently.
 func (vm *simVM) clearAnswered(changes []suspect.Change) {
 	for _, c := range changes {
-		if c.Before < suspect.QuarantineThreshold {
+		if !c.WasQuarantined {
 			vm.owner.ClearIfAnswered(c.Record)
 		}
 	}
@@ -282,6 +282,18 @@
 	}
 }
 
+// TestFleetQuarantinesNoBystanders guards against calls that are refused as quarantined
+// because they ran beside a poison request at upstreams that crashed within the time that a
+// record takes to reach the other daemons. In the listed runs three calls at most were refused.
+func TestFleetQuarantinesNoBystanders(t *testing.T) {
+	for _, seed := range []uint64{17, 114, 256} {
+		got := runWithCrashes(11, 8*time.Second, seed, withPoisonRequests(1)).tallyCrashes()
+		if got.wronglyRefused > 0 {
+			t.Errorf("seed %d: %d of %d calls refused, want none", seed, got.wronglyRefused, got.calls)
+		}
+	}
+}
+
 func (t *crashTally) add(o crashTally) {
 	t.wronglyRefused += o.wronglyRefused
 	t.calls += o.calls
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -16,7 +16,7 @@
 // same upstream and run there one at a time, so that copies sent at the same time crash
 // one upstream and not several. A suspect with two crashes runs beside no other suspect,
 // so that the third crash identifies the poison request. A request with three crashes is
-// quarantined: it is refused.
+// quarantined once one of them is attributed to it: it is refused.
 
 // quarantineSettleTime is the age from which a quarantine is considered settled. Before
 // that, a quarantine that hit a harmless request may still be cleared by the response to
@@ -77,7 +77,9 @@
 
 // recordCrash records that an upstream crashed while it ran the attempt. Only the culprit
 // of the crash can be moved into quarantine by it; otherwise requests that run beside a
-// poison request would be quarantined too. The first crash of a request after it was
+// poison request would be quarantined too. Crashes of other upstreams that this daemon has
+// not heard of yet can still raise the count of the others to the threshold, so that a
+// crash is recorded as unattributed for them. The first crash of a request after it was
 // answered here is not recorded for it if that answer is recent: popular requests are
 // running at nearly every upstream at any time and would be quarantined whenever three
 // upstreams crash at once.
@@ -86,7 +88,12 @@
 	if t.CrashCount(d) >= isolationThreshold && d != c.culprit || o.recent.ExemptOnce(d) {
 		return
 	}
-	t.RecordCrash(d, suspect.NewCrashID(a.Upstream, o.cfg.Incarnation, c.n))
+	id := suspect.NewCrashID(a.Upstream, o.cfg.Incarnation, c.n)
+	if d == c.culprit {
+		t.RecordCrash(d, id)
+		return
+	}
+	t.RecordUnattributedCrash(d, id)
 }
 
 // ClearIfAnswered clears a request that has just been quarantined if an upstream here
--- a/internal/callpath/suspects_test.go
+++ b/internal/callpath/suspects_test.go
@@ -238,6 +238,46 @@
 	is.Equal(rs.tryAdd(tab, one), outcome.ReasonOtherSuspect)
 }
 
+// TestCrashesUnknownToOneAnotherQuarantineNoBystander guards against requests that are
+// quarantined because they ran beside a poison request at three upstreams, which crashed
+// before their daemons had heard of the other crashes. The next crash then tells the poison
+// request from the others.
+func TestCrashesUnknownToOneAnotherQuarantineNoBystander(t *testing.T) {
+	is := is.New(t)
+	poison := &Attempt{Method: http.MethodGet, URL: mustURL(t, "/a")}
+	bystander := &Attempt{Method: http.MethodGet, URL: mustURL(t, "/b")}
+	tab := suspect.NewTable(time.Now)
+	for n := range suspect.QuarantineThreshold {
+		other := suspect.NewTable(time.Now)
+		o := &Owner{cfg: OwnerConfig{Suspects: other}, recent: suspect.NewRecent(time.Now)}
+		var rs runningAttempts
+		for _, a := range []*Attempt{poison, bystander} {
+			a.Upstream = fmt.Sprint("u", n)
+			is.Equal(rs.tryAdd(other, a), outcome.Reason(""))
+		}
+		c := crash{n: 1, culprit: rs.culprit(other)}
+		o.recordCrash(poison, c)
+		o.recordCrash(bystander, c)
+		for _, rec := range other.Records() {
+			tab.Merge(rec)
+		}
+	}
+	for _, a := range []*Attempt{poison, bystander} {
+		_, refused := quarantined(tab, a, time.Now())
+		is.True(!refused) // none of the crashes is attributed to either
+	}
+	var rs runningAttempts
+	is.Equal(rs.tryAdd(tab, poison), outcome.Reason(""))
+	is.Equal(rs.tryAdd(tab, bystander), outcome.ReasonOtherSuspect)
+	o := &Owner{cfg: OwnerConfig{Suspects: tab}, recent: suspect.NewRecent(time.Now)}
+	o.recordCrash(poison, crash{n: 2, culprit: rs.culprit(tab)})
+	_, refused := quarantined(tab, poison, time.Now())
+	is.True(refused)
+	is.Equal(rs.tryAdd(tab, bystander), outcome.ReasonOtherSuspect) // until the poison request has ended
+	rs.remove(poison)
+	is.Equal(rs.tryAdd(tab, bystander), outcome.Reason(""))
+}
+
 func mustURL(t *testing.T, text string) *url.URL {
 	t.Helper()
 	u, err := url.Parse(text)
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -13,7 +13,9 @@
 	// each of an upstream that was running the request. One crash makes suspects of all
 	// requests that ran at the upstream, 16 or more. It is still common that a harmless
 	// request is suspected of two crashes where calls are retried at other upstreams, but not
-	// that it is suspected of three without an answer in between.
+	// that it is suspected of three without an answer in between. It is also suspected of three
+	// if upstreams crash so soon after one another that no daemon knows of the other crashes:
+	// see Record.Unattributed.
 	QuarantineThreshold = 3
 	// Retention is how long a record is kept after its last change: long enough for
 	// somebody to investigate what crashed three upstreams. A request that crashes
@@ -50,13 +52,16 @@
 	// Crashes are the crashes that the request is suspected of in this round, sorted, at
 	// most QuarantineThreshold of them.
 	Crashes []CrashID `json:"e,omitempty"`
+	// Unattributed is set while none of the crashes is attributed to the request: at each
+	// upstream other requests may have caused the crash as well.
+	Unattributed bool `json:"u,omitempty"`
 	// At is when the record last changed, in Unix milliseconds by the clock of the daemon
 	// that changed it.
 	At int64 `json:"t"`
 }
 
 // Quarantined reports whether the request must not be run any more.
-func (r Record) Quarantined() bool { return len(r.Crashes) >= QuarantineThreshold }
+func (r Record) Quarantined() bool { return len(r.Crashes) >= QuarantineThreshold && !r.Unattributed }
 
 // Valid reports whether a record could have been produced by a Table.
 func (r Record) Valid() bool { return r.Digest != 0 && len(r.Crashes) <= QuarantineThreshold }
@@ -76,13 +81,17 @@
 	return Record{
 		Digest: r.Digest, Round: r.Round, ClearedUnanswered: r.ClearedUnanswered || o.ClearedUnanswered,
 		Crashes: crashes[:min(len(crashes), QuarantineThreshold)], At: max(r.At, o.At),
+		Unattributed: len(crashes) > 0 && !r.attributed() && !o.attributed(),
 	}
 }
 
+// attributed reports whether a crash of the record is attributed to the request.
+func (r Record) attributed() bool { return len(r.Crashes) > 0 && !r.Unattributed }
+
 // Same reports whether two records of a request are equal but for the time of their last
 // change.
 func (r Record) Same(o Record) bool {
-	return r.Round == o.Round && r.ClearedUnanswered == o.ClearedUnanswered && slices.Equal(r.Crashes, o.Crashes)
+	return r.Round == o.Round && r.ClearedUnanswered == o.ClearedUnanswered && r.Unattributed == o.Unattributed && slices.Equal(r.Crashes, o.Crashes)
 }
 
 // Expired reports whether a record is past its retention period.
@@ -106,5 +115,8 @@
 	for _, id := range r.Crashes {
 		nums = append(nums, uint64(id))
 	}
+	if r.Unattributed {
+		nums = append(nums, 0)
+	}
 	return xxhash.Sum64(bigEndianBytes(nums...))
 }
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -35,17 +35,18 @@
 
 type row struct {
 	Record
-	// reportedCrashes is the number of crashes that Changes last returned for the record;
-	// pending is set if the record has changed since.
-	reportedCrashes int
-	pending         bool
+	// reported is the record that Changes last returned; pending is set if the record has
+	// changed since.
+	reported Record
+	pending  bool
 }
 
 // Change is a record that has changed, with the number of crashes that it had when Changes
-// last returned it.
+// last returned it, and whether the request was quarantined then.
 type Change struct {
 	Record
-	Before int
+	Before         int
+	WasQuarantined bool
 }
 
 // NewTable returns an empty table.
@@ -81,11 +82,20 @@
 	return Record{}, false
 }
 
-// RecordCrash records that an upstream crashed while it ran the request.
-func (t *Table) RecordCrash(d Digest, id CrashID) Record {
+// RecordCrash records a crash of an upstream that is attributed to the request, which the
+// upstream was running.
+func (t *Table) RecordCrash(d Digest, id CrashID) Record { return t.recordCrash(d, id, false) }
+
+// RecordUnattributedCrash records a crash of an upstream that was running the request, but
+// which other requests may have caused as well.
+func (t *Table) RecordUnattributedCrash(d Digest, id CrashID) Record {
+	return t.recordCrash(d, id, true)
+}
+
+func (t *Table) recordCrash(d Digest, id CrashID, unattributed bool) Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rec := Record{Digest: d, Crashes: []CrashID{id}, At: t.now().UnixMilli()}
+	rec := Record{Digest: d, Crashes: []CrashID{id}, Unattributed: unattributed, At: t.now().UnixMilli()}
 	if r := t.rows[d]; r != nil {
 		rec.Round = r.Round
 	}
@@ -207,8 +217,8 @@
 	var out []Change
 	for _, r := range t.rows {
 		if r.pending {
-			out = append(out, Change{Record: r.Record, Before: r.reportedCrashes})
-			r.reportedCrashes, r.pending = len(r.Crashes), false
+			out = append(out, Change{Record: r.Record, Before: len(r.reported.Crashes), WasQuarantined: r.reported.Quarantined()})
+			r.reported, r.pending = r.Record, false
 		}
 	}
 	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Digest, b.Digest) })
--- a/internal/suspect/table_test.go
+++ b/internal/suspect/table_test.go
@@ -47,13 +47,15 @@
 		for range rapid.IntRange(1, 40).Draw(rt, "ops") {
 			tab := tabs[rapid.IntRange(0, 2).Draw(rt, "table")]
 			d := Digest(rapid.IntRange(1, 3).Draw(rt, "digest"))
-			switch rapid.IntRange(0, 3).Draw(rt, "op") {
+			switch rapid.IntRange(0, 4).Draw(rt, "op") {
 			case 0:
 				tab.RecordCrash(d, CrashID(rapid.IntRange(1, 6).Draw(rt, "end")))
 			case 1:
 				tab.Answered(d)
 			case 2:
 				tab.ClearUnanswered(d)
+			case 3:
+				tab.RecordUnattributedCrash(d, CrashID(rapid.IntRange(1, 6).Draw(rt, "unattributed end")))
 			default:
 				mergeAll(tab, tabs[rapid.IntRange(0, 2).Draw(rt, "from")])
 			}
--- a/internal/system/suspects.go
+++ b/internal/system/suspects.go
@@ -101,7 +101,7 @@
 func reportSuspect(c suspect.Change, out *Outbox) {
 	kind := event.Suspected
 	switch {
-	case c.Quarantined() && c.Before < suspect.QuarantineThreshold:
+	case c.Quarantined() && !c.WasQuarantined:
 		kind = event.Quarantined
 		out.Quarantined = append(out.Quarantined, c.Record)
 	case len(c.Crashes) == 0 && c.Before > 0:
