An answer that later records have overtaken is not taken for a truncated log

A reader that goes on after a pause can receive records from a peer before the answer to its own read, which then ends before the position held. The daemon raised log-regressed and read no further commands from the log until a reseed.

Fix: the log has lost records only if it ends before the offset from which it was read. A later position than that offset came from elsewhere.

Before: TestReadOvertakenByPeersIsNoRegression fails ("the log ends before the position held"). After: it passes, a truncated log is still found.

--- a/internal/system/log.go
+++ b/internal/system/log.go
@@ -53,7 +53,7 @@
 	}
 	w.Log.ReadAfter = time.Time{}
 	b := r.Batch
-	if reason := regression(w, b); reason != "" && !w.Log.Regressed {
+	if reason := regression(w, r); reason != "" && !w.Log.Regressed {
 		w.Log.Regressed = true
 		raiseAlarm(w, AlarmRegressed, reason, out)
 	}
@@ -79,8 +79,12 @@
 
 // regression returns the reason why the log does not continue what this daemon holds, or "":
 // the log lost commands that this daemon has applied, or may have.
-func regression(w *table.World, b store.Batch) string {
+func regression(w *table.World, r LogRead) string {
+	b := r.Batch
 	switch position := w.Config.State.Position; {
+	case b.End < position && r.From < position && b.End >= r.From:
+		// A peer or another read has delivered later records since this read began.
+		return ""
 	case b.End < position:
 		return "the log ends before the position held: it was truncated or replaced"
 	case position > 0 && w.Log.ReadEpoch > 0 && b.Epoch > w.Log.ReadEpoch:
--- a/internal/system/restore_test.go
+++ b/internal/system/restore_test.go
@@ -161,6 +161,33 @@
 	is.True(w.Alarms[AlarmRegressed] != "")
 }
 
+// TestReadOvertakenByPeersIsNoRegression guards against a daemon that takes a log for truncated
+// because the answer to a read arrives after later records, which a peer has sent meanwhile. A
+// paused reader finds both when it goes on.
+func TestReadOvertakenByPeersIsNoRegression(t *testing.T) {
+	is := is.New(t)
+	w := table.New(wire.Member{ID: "vm", Domain: "d", Peer: "vm"}, testParams(), noSuspects(), time.Unix(1000, 0), 1)
+	at := time.Unix(1100, 0)
+	var entries []store.Entry
+	for i, service := range []string{"a", "b", "c"} {
+		data, err := config.Record{Command: &config.Command{ID: service, Changes: []config.Change{{
+			Verb: config.Put, Ref: config.Ref{Kind: config.KindService, Name: service}, Service: &config.Service{Name: service},
+		}}}}.Encode()
+		is.NoErr(err)
+		entries = append(entries, store.Entry{Offset: uint64(i), Data: data})
+	}
+	read := func(from, end uint64) {
+		Tick(w, at, []Input{LogRead{From: from, Batch: store.Batch{End: end, Entries: entries[from:end], Epoch: 1}}})
+	}
+	read(0, 1)
+	read(1, 3)
+	read(1, 2) // began before the records up to 3 were applied
+	is.Equal(w.Alarms[AlarmRegressed], "")
+	is.Equal(w.Config.State.Version, uint64(3))
+	Tick(w, at, []Input{LogRead{From: 3, Batch: store.Batch{End: 2, Epoch: 1}}})
+	is.True(w.Alarms[AlarmRegressed] != "") // the log was truncated
+}
+
 // TestOrderAfterARestoreIsCarriedOut guards against a rollout that is never begun: an order was
 // known by its offset alone, which a store that came back older gives out again. What such a
 // store still has, or gets again, is no new order.
