Commands are read back although the daemons that read the log are blocked

Operators saw: "outcome unknown: command was not read back from the log in time" after 5 s, for commands that were in force a moment later (TestVersionsNeverDecrease, 1 of 5 scripts).

Cause: a reader waits up to 6 s on a connection to the log that has become silent, for example because its failure domain was cut off. The daemon that appended a command waits 5 s, and only the readers bring it back.

With all connections to the log silent, commands end as unknown after 5.0 s at each of six daemons.

Fix: after 1 s without an outcome, and each second from then on, the daemon that appended the command reads the log itself. A result of that read does not end the one that is blocked.

Before: TestCommandsAreReadBackBesideSilentReaders fails (unknown).

--- a/internal/agent/command.go
+++ b/internal/agent/command.go
@@ -19,6 +19,10 @@
 	maxUnknownCommands = 256
 	// outcomeTimeout bounds the wait for a command to be read back from the log.
 	outcomeTimeout = 5 * time.Second
+	// readBackInterval is the interval at which a daemon reads the log itself while a command
+	// that it appended has not been read back. The readers may be blocked on a connection to
+	// the log that has become silent.
+	readBackInterval = time.Second
 )
 
 // reasonManagedByPlatform is the reason for which commands are rejected if the configuration
@@ -139,16 +143,29 @@
 		return a.unknownOutcome(cmd, err.Error())
 	}
 	a.events.Add(event.Event{Kind: event.CommandAppended, Request: cmd.ID})
+	return a.awaitOutcome(ctx, cmd, done)
+}
+
+// awaitOutcome waits until a command that was appended to the log has been read back, which
+// closes done.
+func (a *Agent) awaitOutcome(ctx context.Context, cmd config.Command, done <-chan struct{}) config.Outcome {
 	timer := time.NewTimer(outcomeTimeout)
 	defer timer.Stop()
-	select {
-	case <-done:
-		o, _ := a.commands.outcome(cmd.ID)
-		return o
-	case <-timer.C:
-		return a.unknownOutcome(cmd, "command was not read back from the log in time")
-	case <-ctx.Done():
-		return a.unknownOutcome(cmd, "request was cancelled before the command was read back from the log")
+	readBack := time.NewTicker(readBackInterval)
+	defer readBack.Stop()
+	for {
+		select {
+		case <-done:
+			o, _ := a.commands.outcome(cmd.ID)
+			return o
+		case <-readBack.C:
+			a.logger.Info().Str("step", "read-back").Str("request", cmd.ID).Msg("command has not been read back from the log: reading the log once more")
+			a.input(system.ReadBack{})
+		case <-timer.C:
+			return a.unknownOutcome(cmd, "command was not read back from the log in time")
+		case <-ctx.Done():
+			return a.unknownOutcome(cmd, "request was cancelled before the command was read back from the log")
+		}
 	}
 }
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -161,8 +161,10 @@
 // noteReadsDone clears the marks of the reads of the store whose results are in the batch.
 func (a *Agent) noteReadsDone(batch []system.Input) {
 	for _, in := range batch {
-		switch in.(type) {
-		case system.LogRead, system.DocumentRead:
+		switch in := in.(type) {
+		case system.LogRead:
+			a.readingConfig = a.readingConfig && in.ReadBack
+		case system.DocumentRead:
 			a.readingConfig = false
 		case system.QuarantineRead:
 			a.readingQuarantine = false
@@ -199,6 +201,9 @@
 		a.readingConfig = true
 		go a.readLog(out.ReadFrom, out.ReadWithoutWait)
 	}
+	if out.ReadBack {
+		go a.readBack(out.ReadFrom)
+	}
 	if out.Append != nil {
 		go a.appendLog(store.ConfigTopic, out.Append)
 	}
@@ -224,6 +229,20 @@
 	a.input(system.LogRead{From: from, Batch: batch, Err: err, StartedAt: startedAt})
 }
 
+// readBack reads what the log holds from an offset on, without waiting for more. It is only a
+// second way to the records, so that an error counts as no outage of the log.
+func (a *Agent) readBack(from uint64) {
+	startedAt := boottime.Now()
+	var batch store.Batch
+	err := a.callStore("read back", func(ctx context.Context) (err error) {
+		batch, err = a.log.Read(ctx, store.Query{Topic: store.ConfigTopic, From: from})
+		return err
+	})
+	if err == nil {
+		a.input(system.LogRead{From: from, Batch: batch, StartedAt: startedAt, ReadBack: true})
+	}
+}
+
 // readDocument reads the next document from the source, waiting up to wait for one later than
 // the last one read.
 func (a *Agent) readDocument(wait time.Duration) {
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -51,8 +51,14 @@
 	Err   error
 	// StartedAt is the boot time at which the read began, or zero if it was not recorded.
 	StartedAt time.Duration
+	// ReadBack is set if Outbox.ReadBack requested the read.
+	ReadBack bool
 }
 
+// ReadBack requests a read of the configuration stream beside the one that may be waiting at
+// the log: a command that this daemon appended has not been read back.
+type ReadBack struct{}
+
 // Announced is an upstream's announcement to the daemon on its VM.
 type Announced struct {
 	Local table.Local
@@ -120,6 +126,9 @@
 	// ReadWithoutWait is set if that read must not wait for a new record: a daemon that reads the
 	// log is not ready until a read has reached the end of the log.
 	ReadWithoutWait bool
+	// ReadBack requests another read from ReadFrom that does not wait, whether or not a read
+	// is in progress.
+	ReadBack bool
 	// Append is a record to append to the configuration stream, or nil.
 	Append []byte
 	// PublishSelf requests that this daemon's addresses are written to the log, FindSeeds
@@ -191,6 +200,8 @@
 		receiveMessage(w, now, v, out)
 	case LogRead:
 		receiveLog(w, now, v, out)
+	case ReadBack:
+		out.ReadBack = mayReadLog(w, now)
 	case DocumentRead:
 		receiveDocument(w, now, v, out)
 	case Announced:
--- a/itest/config_test.go
+++ b/itest/config_test.go
@@ -325,6 +325,27 @@
 	is.True(time.Since(began) < 15*time.Second)
 }
 
+// TestCommandsAreReadBackBesideSilentReaders guards against commands that are reported as unknown
+// although the log holds them: the daemons that read it were blocked for up to 6 s on connections
+// that had become silent, and the operator was told after 5 s.
+func TestCommandsAreReadBackBesideSilentReaders(t *testing.T) {
+	c := sixVMs(t)
+	for i, v := range c.VMs[:3] {
+		c.LogProxy.SilenceConnections()
+		for n := range 2 {
+			a, err := v.Execute(fmt.Sprintf("force put service s%d-%d", i, n))
+			if err != nil {
+				t.Fatal(err)
+			}
+			// The daemon's own connection is silent for the first command, whose append may
+			// therefore end without an answer.
+			if o := a.Outcome.Value; n > 0 && o.Status != api.OutcomeStatusAccepted {
+				t.Errorf("%s: outcome %s, want accepted: %s", v.Name, o.Status, o.Reason.Or(""))
+			}
+		}
+	}
+}
+
 // TestServiceWithoutUpstreams checks that a route whose service has no upstream refuses
 // calls as not run, with a Retry-After header.
 func TestServiceWithoutUpstreams(t *testing.T) {
