Rolled_back is published once daemons have heard of the revert

Cause: the status was published as soon as the store had the record, with no wait for daemons that hear of the revert later.

Calls stop as before, at once where the revert is heard of.

--- a/internal/system/rollouts.go
+++ b/internal/system/rollouts.go
@@ -234,7 +234,7 @@
 		if takeRolloutTurn(w, now, r) {
 			out.CommitRollouts = append(out.CommitRollouts, next)
 		}
-	case !r.Published:
+	case !r.Published && !awaitsLastCalls(w, now, r):
 		if takeRolloutTurn(w, now, r) {
 			out.PublishRollouts = append(out.PublishRollouts, r.Record)
 		}
@@ -259,6 +259,16 @@
 	return r.Record, false
 }
 
+// awaitsLastCalls reports whether a rollout was reverted so recently that some daemons may not
+// have heard of it, or have sent calls to the new version that have not arrived. Operators
+// may stop its upstreams once they read that it is rolled back. They read that no later than
+// they would read that the rollout is completed.
+func awaitsLastCalls(w *table.World, now time.Time, r *table.Rollout) bool {
+	plan := w.Plan(r.Duration)
+	return r.Phase == rollout.Reverted &&
+		now.Sub(r.PhaseSince) < plan.MoveTimeout() && now.Sub(r.Since) < plan.MoveAfter()+plan.MoveTimeout()
+}
+
 // takeRolloutTurn reports whether it is this root's turn to write to the store, and if so
 // starts the wait for the result of the write. So that usually only one root writes, each
 // root waits longer than those ranked before it.
--- a/internal/system/rollouts_test.go
+++ b/internal/system/rollouts_test.go
@@ -254,6 +254,29 @@
 	}
 }
 
+// TestRolledBackIsPublishedAfterTheLastCall guards against calls to a version that operators read
+// to be rolled back, and whose upstreams they may stop. Messages between daemons are slow, so
+// that the last daemon hears of the revert well after the store.
+func TestRolledBackIsPublishedAfterTheLastCall(t *testing.T) {
+	for seed := range uint64(6) {
+		r := newRolloutNet(t, seed, 3, 5)
+		r.n.extraDelay = func() time.Duration { return time.Duration(r.rng.IntN(200)) * time.Millisecond }
+		r.orderRollout(12 * time.Second)
+		r.failureRate, r.failingFrom = 0.5, r.orderedAt
+		for len(r.n.published) == 0 || r.n.published[len(r.n.published)-1].Phase != rollout.Reverted {
+			if r.n.now.After(r.orderedAt.Add(r.order.Duration)) {
+				t.Fatalf("seed %d: the bad version is not published as rolled back in time", seed)
+			}
+			r.run(tickInterval)
+		}
+		before := r.exposed
+		r.run(time.Second)
+		if late := r.exposed - before; late > 0 {
+			t.Errorf("seed %d: %d calls to the version after it was published as rolled back, want none", seed, late)
+		}
+	}
+}
+
 // TestNewVersionWithoutAnOrderIsServed announces upstreams of another version without a
 // rollout order, as when an operator simply replaces upstreams: the new ones must get calls
 // once an order would have arrived.
