--- a/internal/system/suspects_test.go
+++ b/internal/system/suspects_test.go
@@ -65,6 +65,26 @@
 	is.Equal(n.countQuarantining(1), len(n.nodes))
 }
 
+// TestSuspectsReachAllDaemonsInFewHops guards against suspects that take longer to reach the
+// last daemon as the fleet grows: each hop costs a tick and a message, whatever else the
+// machine of the test is doing.
+func TestSuspectsReachAllDaemonsInFewHops(t *testing.T) {
+	is := is.New(t)
+	const domains, perDomain, hops = 7, 14, 5
+	n := newTestNetFor(t, domains, perDomain)
+	n.publish("seed", baseConfig)
+	n.converge(20 * time.Second)
+	n.run(8 * time.Second) // until connections that were only used at the start are closed
+	for round := range 5 {
+		d := suspect.Digest(1 + round)
+		n.nodes[7*round+3].w.Suspects.RecordCrash(d, 1)
+		n.run(2 * (hops + 1) * tickInterval)
+		for _, node := range n.nodes {
+			is.Equal(node.w.Suspects.CrashCount(d), 1)
+		}
+	}
+}
+
 // TestQuarantineCrossesPartitionsThroughTheStore partitions each failure domain from the
 // others. The record must reach all domains through the store. A domain that cannot reach
 // the store either must get the record once it reaches the store or the others again.
