--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -239,6 +239,10 @@
 	return t
 }
 
+// maxLateRuns is how often one of two poison requests may run once all daemons could know of
+// it.
+const maxLateRuns = 3
+
 // TestFleetQuarantinesPoisonRequests simulates fleets with one or two poison requests
 // that are sent 8 times per second, through any VM, and sent again by their callers. One
 // such request was seen to cause 24 crashes of 8 upstreams within 8 s. Poison requests
@@ -247,9 +251,6 @@
 // many copies running at once.
 func TestFleetQuarantinesPoisonRequests(t *testing.T) {
 	const (
-		// maxLateRuns is how often a poison request may run once all daemons could know
-		// of it.
-		maxLateRuns = 3
 		// maxRefusedShare is the fraction of other calls that may be refused where two
 		// poison requests crash most of a small fleet within a second, so that the same
 		// calls run beside them repeatedly.
@@ -294,6 +295,17 @@
 	}
 }
 
+// TestFleetStopsSecondPoisonRequest guards against copies of a poison request that start at several
+// upstreams when these return at the same time, after three crashes of which none could be
+// attributed to it.
+func TestFleetStopsSecondPoisonRequest(t *testing.T) {
+	const seed = 291
+	got := runWithCrashes(11, 12*time.Second, seed, withPoisonRequests(2)).tallyCrashes()
+	if got.lateRuns > maxLateRuns {
+		t.Errorf("seed %d: %d runs once all daemons could know of the request, want at most %d", seed, got.lateRuns, maxLateRuns)
+	}
+}
+
 func (t *crashTally) add(o crashTally) {
 	t.wronglyRefused += o.wronglyRefused
 	t.calls += o.calls
