Times of the last sign of an owner do not depend on the clock of the VM

After a reading of the diff: the time at which an owner was last heard was a wall-clock time, so that a step of the clock could end calls or keep them waiting. Any response to an inquiry counts as a sign, also an error status. An overtaken answer of a later epoch of the log is still a regression.

--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -153,13 +153,11 @@
 		return "", errors.Wrapf(err, "inquire at owner %s", u.Daemon)
 	}
 	defer res.Body.Close()
+	r.pool(u.Owner).recordHeard()
 	if res.StatusCode != http.StatusOK {
 		return "", errors.Errorf("inquire at owner %s: want status 200 OK, got %s", u.Daemon, res.Status)
 	}
 	var reply InquiryReply
 	err = json.NewDecoder(io.LimitReader(res.Body, maxInquiryBytes)).Decode(&reply)
-	if err == nil {
-		r.pool(u.Owner).recordHeard()
-	}
 	return reply.State, err
 }
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -40,8 +40,11 @@
 	compressed *compress.Metrics
 	// tokens holds one token per open connection; nil if their number is unlimited.
 	tokens chan struct{}
-	// heardAt is when anything was last received over the connections, in Unix nanoseconds.
-	heardAt atomic.Int64
+	// createdAt is when the pool was created. heardAt is when anything was last received from the
+	// address, in nanoseconds since then: the difference of two such times does not change with the
+	// clock of the VM.
+	createdAt time.Time
+	heardAt   atomic.Int64
 
 	mu     sync.Mutex
 	idle   []*clientConn
@@ -104,7 +107,7 @@
 // newPool returns a pool that opens at most maxConns connections, or any number if
 // maxConns is 0.
 func newPool(dialer *net.Dialer, addr string, maxConns int, idleTimeout time.Duration, dialect Dialect) *pool {
-	p := &pool{dialer: dialer, addr: addr, idleTimeout: idleTimeout, dialect: dialect}
+	p := &pool{dialer: dialer, addr: addr, idleTimeout: idleTimeout, dialect: dialect, createdAt: time.Now()}
 	if maxConns > 0 {
 		p.tokens = make(chan struct{}, maxConns)
 	}
@@ -145,10 +148,11 @@
 }
 
 // recordHeard records that something was received from the address just now.
-func (p *pool) recordHeard() { p.heardAt.Store(time.Now().UnixNano()) }
+func (p *pool) recordHeard() { p.heardAt.Store(int64(time.Since(p.createdAt))) }
 
-// lastHeard returns when anything was last received from the address.
-func (p *pool) lastHeard() time.Time { return time.Unix(0, p.heardAt.Load()) }
+// lastHeard returns when anything was last received from the address, or when the pool was
+// created if nothing was.
+func (p *pool) lastHeard() time.Time { return p.createdAt.Add(time.Duration(p.heardAt.Load())) }
 
 func (c *clientConn) roundTrip(req *http.Request) (*http.Response, error) {
 	if req.ContentLength < outcome.LongBody {
--- a/internal/system/log.go
+++ b/internal/system/log.go
@@ -80,12 +80,11 @@
 // regression returns the reason why the log does not continue what this daemon holds, or "":
 // the log lost commands that this daemon has applied, or may have.
 func regression(w *table.World, r LogRead) string {
-	b := r.Batch
-	switch position := w.Config.State.Position; {
-	case b.End < position && r.From < position && b.End >= r.From:
-		// A peer or another read has delivered later records since this read began.
-		return ""
-	case b.End < position:
+	b, position := r.Batch, w.Config.State.Position
+	// A peer or another read may have delivered later records since this read began.
+	overtaken := r.From < position && b.End >= r.From
+	switch {
+	case b.End < position && !overtaken:
 		return "the log ends before the position held: it was truncated or replaced"
 	case position > 0 && w.Log.ReadEpoch > 0 && b.Epoch > w.Log.ReadEpoch:
 		return "the log came back from an older copy: the position held may mean another record"
