--- a/internal/agent/command.go
+++ b/internal/agent/command.go
@@ -159,7 +159,7 @@
 			o, _ := a.commands.outcome(cmd.ID)
 			return o
 		case <-readBack.C:
-			a.logger.Info().Str("step", "read-back").Str("request", cmd.ID).Msg("command has not been read back from the log: reading the log once more")
+			a.logger.Info().Str("step", "read-back").Str("request", cmd.ID).Msg("command has not been read back from the log: requesting another read")
 			a.input(system.ReadBack{})
 		case <-timer.C:
 			return a.unknownOutcome(cmd, "command was not read back from the log in time")
--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -285,7 +285,7 @@
 
 // TestFleetQuarantinesNoBystanders guards against calls that are refused as quarantined
 // because they ran beside a poison request at upstreams that crashed within the time that a
-// record takes to reach the other daemons. In the listed runs three calls at most were refused.
+// record takes to reach the other daemons. With these seeds one to three calls were refused.
 func TestFleetQuarantinesNoBystanders(t *testing.T) {
 	for _, seed := range []uint64{17, 114, 256} {
 		got := runWithCrashes(11, 8*time.Second, seed, withPoisonRequests(1)).tallyCrashes()
--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -25,8 +25,8 @@
 	// given up.
 	maxFailedInquiries = 2
 	// maxOwnerSilence is how long an owner may send nothing at all before attempts that cannot
-	// be repeated are given up: as long as it takes until one that was sent after the VM was
-	// partitioned fails.
+	// be repeated are given up. An attempt that is sent to a partitioned VM fails after the same
+	// time.
 	maxOwnerSilence = ownerAckTimeout + inquiryTimeout
 )
 
@@ -82,7 +82,7 @@
 // owner could not be asked.
 func (r *remote) monitorAttempt(ctx context.Context, cancel context.CancelCauseFunc, u view.Upstream, a *Attempt, interval time.Duration) {
 	p := r.pool(u.Owner)
-	unansweredSince := time.Now().Add(-interval)
+	unansweredSince := time.Now().Add(-interval) // the first inquiry is due an interval after the attempt
 	failed := 0
 	for failed < maxFailedInquiries && ctx.Err() == nil {
 		asked := time.Now()
--- a/internal/callpath/silentowner_test.go
+++ b/internal/callpath/silentowner_test.go
@@ -79,8 +79,9 @@
 )
 
 // TestCallersOfASilentOwnerDoNotWaitForTheirDeadline guards against callers that wait until
-// their deadline for an owner that is cut off. Attempts that may not be repeated were waited
-// for whatever their owner failed to say, so that all callers of a daemon gathered there.
+// their deadline for an owner that is cut off. An attempt that may not be repeated was not
+// given up even if its owner answered no inquiry, so that all callers of a daemon could be
+// waiting for one owner.
 func TestCallersOfASilentOwnerDoNotWaitForTheirDeadline(t *testing.T) {
 	const service = 200 * time.Millisecond
 	r, l := newSilentRig(t, service)
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -13,9 +13,9 @@
 	// each of an upstream that was running the request. One crash makes suspects of all
 	// requests that ran at the upstream, 16 or more. It is still common that a harmless
 	// request is suspected of two crashes where calls are retried at other upstreams, but not
-	// that it is suspected of three without an answer in between. It is also suspected of three
-	// if upstreams crash so soon after one another that no daemon knows of the other crashes:
-	// see Record.Unattributed.
+	// that it is suspected of three without an answer in between. Only if upstreams crash before
+	// their daemons know of one another's crashes can a harmless request be suspected of three;
+	// Record.Unattributed keeps it out of quarantine.
 	QuarantineThreshold = 3
 	// Retention is how long a record is kept after its last change: long enough for
 	// somebody to investigate what crashed three upstreams. A request that crashes
