The pause of an owner in TestNotRunIsAccurateAndNoCallRunsTwice hits calls in flight

Cause: the test pauses a daemon and waits for a call whose outcome is unknown. Before that it drops the answers of that daemon's owner, until 50 calls are answered. If all 24 callers happen to wait there, that takes 1.5 s; both ingresses then mark the owner as down, probe it at growing intervals and send it no call yet when it is paused 0.2 s later.

Change: before the pause the test also waits until the owner's upstream has answered a call through each ingress, which checks that an owner is used again after the fault.

--- a/itest/calls_test.go
+++ b/itest/calls_test.go
@@ -76,9 +76,10 @@
 // requests, pauses one owner after it admitted calls, resumes it later, and kills another,
 // while calls that may not be repeated arrive at two daemons.
 func TestNotRunIsAccurateAndNoCallRunsTwice(t *testing.T) {
-	c, _ := threeDomains(t, "-delay-ms", "3")
+	c, ups := threeDomains(t, "-delay-ms", "3")
 	paused, killed := c.VMs[1], c.VMs[2]
-	load := harness.StartLoad(24, []*harness.VM{c.VMs[0], edge(c)}, harness.PostCalls("once"))
+	ingresses := []*harness.VM{c.VMs[0], edge(c)}
+	load := harness.StartLoad(24, ingresses, harness.PostCalls("once"))
 	for _, v := range c.VMs[:3] {
 		for range 5 {
 			load.AwaitResponses(t, 50)
@@ -92,6 +93,8 @@
 		v.Owner.CloseConnections()
 	}
 	load.AwaitResponses(t, 100)
+	// An owner that has sent nothing for a while gets no calls until it answers a probe.
+	load.AwaitAnswersOf(t, c, ups[1], ingresses...)
 	paused.Pause()
 	load.AwaitOutcome(t, "unknown", 1) // callers are answered while the owner is paused
 	paused.Resume()
--- a/itest/harness/load.go
+++ b/itest/harness/load.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // Load sends calls from several concurrent callers until it is stopped, and records
@@ -91,6 +92,39 @@
 	})
 }
 
+// AwaitAnswersOf waits until the upstream has answered a new call through each of the VMs.
+func (l *Load) AwaitAnswersOf(t testing.TB, c *Cluster, u *Upstream, vms ...*VM) {
+	t.Helper()
+	from := time.Now()
+	Eventually(t, "answers of "+u.ID, func() error {
+		through := l.answeredThrough(c, u, from)
+		for _, v := range vms {
+			if !through[v.Addrs.Callers] {
+				return fmt.Errorf("no call through %s has been answered", v.Name)
+			}
+		}
+		return nil
+	})
+}
+
+// answeredThrough returns the addresses at which daemons accepted the calls that the
+// upstream has run since the given time and that are answered.
+func (l *Load) answeredThrough(c *Cluster, u *Upstream, from time.Time) map[string]bool {
+	entries := c.Journal()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	through := map[string]bool{}
+	for _, e := range entries {
+		if e.Verb != "run" || e.Upstream != u.ID || e.At.Before(from) {
+			continue
+		}
+		if r, completed := l.Responses[e.Request]; completed && r.Outcome == "answered" {
+			through[r.Addr] = true
+		}
+	}
+	return through
+}
+
 // Stop ends the load and waits for the calls in flight.
 func (l *Load) Stop() {
 	close(l.stop)
