A drain ends when the listener is closed before Accept sees the drain

Cause: drain waits until Accept has seen the deadline that it sets. If Kill closes the listener first, Accept returns net.ErrClosed instead and nothing ends the wait.

Fix: Accept ends the drain on net.ErrClosed too. The listener is closed by then, so that there are no pending connections to serve.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -51,12 +51,16 @@
 func (l *drainListener) Accept() (net.Conn, error) {
 	if !l.drained {
 		c, err := l.TCPListener.Accept()
-		if !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			l.pending = acceptPending(l.TCPListener)
+			l.Close()
+		case l.draining.Load() && errors.Is(err, net.ErrClosed):
+			// Kill has closed the listener: drain must not wait any longer.
+		default:
 			return c, err
 		}
-		l.pending = acceptPending(l.TCPListener)
 		l.drained = true
-		l.Close()
 	}
 	if len(l.pending) == 0 {
 		close(l.done)
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -49,3 +50,25 @@
 	is.True(err != nil) // closed
 	is.NoErr(l.Close()) // http.Server.Shutdown closes it again
 }
+
+// TestDrainEndsIfListenerIsClosedFirst guards against a drain that waits forever, because the
+// process was killed, which closes the listener, before Accept had seen the drain.
+func TestDrainEndsIfListenerIsClosedFirst(t *testing.T) {
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newDrainListener(tcp)
+	drained := make(chan error, 1)
+	go func() { drained <- l.drain() }()
+	time.Sleep(50 * time.Millisecond) // until drain waits for Accept
+	l.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("Accept: %v, want %v", err, net.ErrClosed)
+	}
+	select {
+	case <-drained:
+	case <-time.After(5 * time.Second):
+		t.Fatal("drain has not ended 5 s after the listener was closed")
+	}
+}
