A command of unknown outcome leaves no waiter behind

Cause: a waiter was removed only when its command got an outcome.

Fix: Submit removes its waiter when it returns.

--- a/internal/agent/command.go
+++ b/internal/agent/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,8 +73,9 @@
 	t.unknown = stillUnknown
 }
 
-// subscribe returns a channel that is closed when the command has an outcome.
-func (t *commandTable) subscribe(id string) <-chan struct{} {
+// subscribe returns a channel that is closed when the command has an outcome. unsubscribe must
+// follow.
+func (t *commandTable) subscribe(id string) chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ch := make(chan struct{})
@@ -87,6 +89,16 @@
 	return ch
 }
 
+// unsubscribe removes a channel that subscribe returned.
+func (t *commandTable) unsubscribe(id string, ch chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiters[id] = slices.DeleteFunc(t.waiters[id], func(w chan struct{}) bool { return w == ch })
+	if len(t.waiters[id]) == 0 {
+		delete(t.waiters, id)
+	}
+}
+
 func (t *commandTable) outcome(id string) (config.Outcome, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,6 +151,7 @@
 		return config.Outcome{ID: cmd.ID, Author: cmd.Author, Status: config.Rejected, Reason: err.Error()}
 	}
 	done := a.commands.subscribe(cmd.ID)
+	defer a.commands.unsubscribe(cmd.ID, done)
 	if _, err := a.log.Append(ctx, store.ConfigTopic, data); err != nil {
 		return a.unknownOutcome(cmd, err.Error())
 	}
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -38,6 +38,21 @@
 	is.Equal(newestAddresses(entries, zerolog.Nop()), []string{"10.0.0.3:1", "10.0.0.1:1"})
 }
 
+// newTestAgent returns an agent that has not been started and that is killed when the test ends.
+func newTestAgent(t *testing.T, log store.Log) *Agent {
+	t.Helper()
+	s := settings.Default()
+	s.VM, s.FailureDomain = "vm", "domain"
+	const anyPort = "127.0.0.1:0"
+	s.Listen = settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort, Owner: anyPort, Local: anyPort}
+	a, err := New(s, Options{Log: log, Logger: zerolog.Nop(), Dialect: callpath.DefaultDialect()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Kill)
+	return a
+}
+
 // TestReadIsNotRepeatedBeforeItsResultIsApplied guards against reads of the store that are
 // repeated while the result of the last one waits for a tick: on a busy machine, daemons that
 // started read the same records twice.
@@ -46,13 +61,7 @@
 	log := devlog.New()
 	_, err := log.Append(context.Background(), store.ConfigTopic, []byte("{}"))
 	is.NoErr(err)
-	s := settings.Default()
-	s.VM, s.FailureDomain = "vm", "domain"
-	const anyPort = "127.0.0.1:0"
-	s.Listen = settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort, Owner: anyPort, Local: anyPort}
-	a, err := New(s, Options{Log: log, Logger: zerolog.Nop(), Dialect: callpath.DefaultDialect()})
-	is.NoErr(err)
-	defer a.Kill()
+	a := newTestAgent(t, log)
 	const settleTime = 50 * time.Millisecond // a read from the stand-in log takes far less
 	for _, out := range []system.Outbox{{ReadLog: true}, {ReadQuarantine: true}} {
 		before := log.Counts().Reads
