Dev mode: a rollout that is first seen as reverted causes no panic

Cause: the upstreams of the reverted version were stopped without a check whether any had been started.

Before: TestRolloutFirstSeenAsRevertedIsHandled panics. After: it passes.

--- a/cmd/comfreyd/devfleet.go
+++ b/cmd/comfreyd/devfleet.go
@@ -111,7 +111,7 @@
 				fmt.Fprintln(os.Stderr, "comfreyd:", err)
 			}
 			go f.sendCalls(vm, r)
-		case r.Phase == rollout.Reverted:
+		case r.Phase == rollout.Reverted && f.running[key] != nil:
 			time.AfterFunc(devStopDelay, f.running[key].shutDown)
 			delete(f.running, key)
 		case r.Phase == rollout.Completed:
