An unreadable settings file is logged once, not every second

Cause: the file is read every second, and each failure was logged.

Fix: a failure is logged when the file becomes unreadable and in answer to a signal; the first successful read after that is logged as well.

--- a/cmd/comfreyd/reload.go
+++ b/cmd/comfreyd/reload.go
@@ -27,10 +27,8 @@
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	current, err := os.ReadFile(path)
-	if err != nil {
-		logger.Warn().Str("step", "reload").Str("peer", path).Err(err).Msg("settings file not readable, reloading it once it is")
-	}
+	f := settingsFile{path: path, logger: logger}
+	f.poll(false)
 	for {
 		signalled := false
 		select {
@@ -40,17 +38,39 @@
 		case <-ctx.Done():
 			return
 		}
-		text, err := os.ReadFile(path)
-		if err != nil {
-			logger.Warn().Str("step", "reload").Str("peer", path).Err(err).Msg("settings file not readable, keeping the current settings")
-			continue
+		if f.poll(signalled) {
+			reload(f.text, path, a, logger)
 		}
-		if !signalled && bytes.Equal(text, current) {
-			continue
+	}
+}
+
+// settingsFile is the last content of a settings file that could be read.
+type settingsFile struct {
+	path   string
+	logger zerolog.Logger
+	text   []byte
+	// unreadable is set while the file cannot be read, so that it is logged once.
+	unreadable bool
+}
+
+// poll reads the file and reports whether it is to be reloaded: its content has changed, or
+// signalled is set.
+func (f *settingsFile) poll(signalled bool) bool {
+	text, err := os.ReadFile(f.path)
+	if err != nil {
+		if signalled || !f.unreadable {
+			f.logger.Warn().Str("step", "reload").Str("peer", f.path).Err(err).Msg("settings file not readable, keeping the current settings")
 		}
-		current = text
-		reload(text, path, a, logger)
+		f.unreadable = true
+		return false
+	}
+	if f.unreadable {
+		f.logger.Info().Str("step", "reload").Str("peer", f.path).Msg("settings file is readable again")
 	}
+	f.unreadable = false
+	changed := !bytes.Equal(text, f.text)
+	f.text = text
+	return changed || signalled
 }
 
 func reload(text []byte, path string, a *agent.Agent, logger zerolog.Logger) {
