Expired quarantines are deleted from the store in the order of their digests

Cause: syncQuarantine ranged over a map.

Before: TestExpiredQuarantineIsDeletedInOrder fails in 3 of 3 runs. After: it passes.

--- a/internal/system/suspects.go
+++ b/internal/system/suspects.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -157,8 +159,8 @@
 	}
 	q.NextCheck = now.Add(storeCheckInterval)
 	due := map[suspect.Digest]time.Time{}
-	for d, stored := range q.Stored {
-		if stored.Expired(now) && takeStoreTurn(w, now, d, due) {
+	for _, d := range slices.Sorted(maps.Keys(q.Stored)) {
+		if q.Stored[d].Expired(now) && takeStoreTurn(w, now, d, due) {
 			out.DeleteQuarantine = append(out.DeleteQuarantine, d)
 			delete(q.Stored, d)
 		}
--- a/internal/system/suspects_test.go
+++ b/internal/system/suspects_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,6 +139,27 @@
 	is.Equal(len(n.storedQuarantine()), 0)
 }
 
+// TestExpiredQuarantineIsDeletedInOrder guards against deletions in the order of a map, which
+// differs between two runs of the same seed.
+func TestExpiredQuarantineIsDeletedInOrder(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetFor(t, 1, 2)
+	n.publish("seed", baseConfig)
+	n.converge(20 * time.Second)
+	i := slices.IndexFunc(n.nodes, func(node *testNode) bool { return readsQuarantine(node.w, n.now) })
+	is.True(i >= 0) // one daemon reads the store
+	w := n.nodes[i].w
+	w.Quarantine = table.Quarantine{Read: true, Stored: map[suspect.Digest]suspect.Record{}, Due: map[suspect.Digest]time.Time{}}
+	for d := suspect.Digest(1); d <= 20; d++ {
+		w.Quarantine.Stored[d] = suspect.Record{Digest: d, At: n.now.Add(-2 * suspect.Retention).UnixMilli()}
+		w.Quarantine.Due[d] = n.now
+	}
+	var out Outbox
+	syncQuarantine(w, n.now, &out)
+	is.Equal(len(out.DeleteQuarantine), 20)
+	is.True(slices.IsSorted(out.DeleteQuarantine))
+}
+
 // TestOneReaderWritesEachRecord guards against needless calls to the store, which are
 // expensive: of all daemons that read the store, only one may write a record.
 func TestOneReaderWritesEachRecord(t *testing.T) {
