A version that appears at another daemon is on probation from the first view that has it

Cause: changes at other daemons request a new view with ViewSoon, but versions were only recorded if ViewDirty was set or the periodic check was due. The view was refreshed only if the number of probations changed, not if they changed.

Fix: versions are recorded last in a tick whenever a view is due, and compared as a whole. The rollout systems do not use them.

--- a/internal/system/rollouts.go
+++ b/internal/system/rollouts.go
@@ -182,7 +182,6 @@
 
 // runRollouts begins ordered rollouts, judges the counts, and forwards changes.
 func runRollouts(w *table.World, now time.Time, out *Outbox) {
-	updateVersions(w, now)
 	beginRollouts(w, now, out)
 	for _, service := range sortedKeys(w.Rollouts) {
 		runRollout(w, now, w.Rollouts[service], out)
--- a/internal/system/rollouts_test.go
+++ b/internal/system/rollouts_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -293,6 +294,35 @@
 	is.Equal(len(r.views[r.n.nodes[0]].Services[rolloutService].Upstreams), 12)
 }
 
+// TestVersionAtAnotherDaemonIsOnProbationAtOnce guards against a new version that is served like
+// the others until a daemon next checks the versions: upstreams of it appear at one daemon, at
+// different times after that check, and the others must serve it on probation from their
+// first view that has it.
+func TestVersionAtAnotherDaemonIsOnProbationAtOnce(t *testing.T) {
+	const offset = 400 * time.Millisecond
+	for i := range 6 {
+		r := newRolloutNet(t, 1, 2, 3)
+		r.run(time.Duration(i) * offset)
+		first := r.n.nodes[0]
+		unsplit := 0
+		for end := r.n.now.Add(testParams().InForce); r.n.now.Before(end); {
+			first.inputs = append(first.inputs, Announced{Local: table.Local{
+				Upstream: wire.Upstream{ID: "new", Service: rolloutService, Version: "v2", Slots: 4}, Name: "new", Incarnation: "new", Addr: "127.0.0.1:2",
+			}})
+			r.run(tickInterval)
+			for _, node := range r.n.nodes {
+				s := r.views[node].Services[rolloutService]
+				if s.Split == nil && slices.ContainsFunc(s.Upstreams, func(u view.Upstream) bool { return u.Version == "v2" }) {
+					unsplit++
+				}
+			}
+		}
+		if unsplit > 0 {
+			t.Errorf("appeared after %v: %d views serve the new version like the others, want none", time.Duration(i)*offset, unsplit)
+		}
+	}
+}
+
 // TestOrderForAbsentVersionIsReverted orders a version that no upstream runs: the rollout
 // must be reverted and the old version must keep serving.
 func TestOrderForAbsentVersionIsReverted(t *testing.T) {
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -180,7 +180,8 @@
 	runSuspects(w, now, &out)
 	runRollouts(w, now, &out)
 	runFreshness(w, &out)
-	if w.ViewDirty || w.ViewSoon && !now.Before(w.ViewAfter) {
+	updateVersions(w, now)
+	if viewDue(w, now) {
 		w.ViewDirty, w.ViewSoon = false, false
 		w.ViewAfter = now.Add(w.Params.Window)
 		out.Refresh = true
@@ -188,6 +189,11 @@
 	return out
 }
 
+// viewDue reports whether the call path gets a new view at this tick.
+func viewDue(w *table.World, now time.Time) bool {
+	return w.ViewDirty || w.ViewSoon && !now.Before(w.ViewAfter)
+}
+
 func applyInput(w *table.World, now time.Time, input Input, out *Outbox) {
 	switch v := input.(type) {
 	case Opened:
--- a/internal/system/versions.go
+++ b/internal/system/versions.go
@@ -1,17 +1,19 @@
 package system
 
 import (
+	"maps"
 	"time"
 
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
 )
 
-// updateVersions records the versions of each service. A version that appears beside
-// others is on probation for as long as a rollout order for it may take to arrive here. If
-// no order arrives, the version is then treated like the others.
+// updateVersions records the versions of each service. It must run last, before a new view
+// shows the versions. A version that appears beside others is on probation for as long as a
+// rollout order for it may take to arrive here. If no order arrives, the version is then
+// treated like the others.
 func updateVersions(w *table.World, now time.Time) {
-	if !w.ViewDirty && now.Before(w.VersionsDue) {
+	if !viewDue(w, now) && now.Before(w.VersionsDue) {
 		return
 	}
 	firstSeen := map[string]map[string]time.Time{}
@@ -36,7 +38,7 @@
 			w.VersionsDue = earliestTime(w.VersionsDue, until)
 		}
 	}
-	if len(probation) != len(w.Probation) {
+	if !maps.Equal(probation, w.Probation) {
 		w.ViewDirty = true
 	}
 	w.Probation = probation
