A daemon does not count its own record among the other daemons on the log

Cause: findSeeds reported the number of all records as that of the others.

Before: TestOwnRecordIsNotCountedAmongOthers counts 3 others where 2 are listed. After: it passes.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -319,7 +319,7 @@
 	if err != nil {
 		return
 	}
-	a.input(system.SelfListed{Listed: a.selfListed(newest.Entries), Others: len(newest.Entries)})
+	a.input(system.SelfListed{Listed: a.selfListed(newest.Entries), Others: a.othersListed(newest.Entries)})
 	if addrs := newestAddresses(newest.Entries, a.logger); len(addrs) > 0 {
 		a.input(system.SeedsFound{Addrs: addrs, Domains: domainsByAddress(newest.Entries)})
 	}
@@ -334,6 +334,17 @@
 	})
 }
 
+// othersListed returns how many entries are records of other daemons.
+func (a *Agent) othersListed(entries []store.Entry) int {
+	others := 0
+	for _, e := range entries {
+		if e.Key != a.settings.VM {
+			others++
+		}
+	}
+	return others
+}
+
 // newestAddresses returns the addresses that daemons have published, the newest first, up to
 // maxSeeds.
 func newestAddresses(entries []store.Entry, logger zerolog.Logger) []string {
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -91,3 +91,22 @@
 		}
 	}
 }
+
+// TestOwnRecordIsNotCountedAmongOthers guards against a daemon that does not publish its addresses
+// although one daemon less than wanted is listed: its own outdated record was counted too.
+func TestOwnRecordIsNotCountedAmongOthers(t *testing.T) {
+	is := is.New(t)
+	log := devlog.New()
+	for _, vm := range []string{"vm", "other-1", "other-2"} {
+		is.NoErr(log.AppendKeyed(context.Background(), store.MemberTopic, vm, []byte(`{"peer":"10.0.0.1:1"}`)))
+	}
+	a := newTestAgent(t, log)
+	a.findSeeds()
+	for len(a.inputs) > 0 {
+		if listed, ok := (<-a.inputs).(system.SelfListed); ok {
+			is.Equal(listed, system.SelfListed{Others: 2})
+			return
+		}
+	}
+	t.Error("findSeeds has not reported whether the daemon is listed")
+}
