--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -296,8 +296,8 @@
 }
 
 // TestFleetStopsSecondPoisonRequest guards against copies of a poison request that start at several
-// upstreams when these return at the same time, after three crashes of which none could be
-// attributed to it.
+// upstreams when these return at the same time, after crashes of which none could be attributed to
+// it.
 func TestFleetStopsSecondPoisonRequest(t *testing.T) {
 	const seed = 291
 	got := runWithCrashes(11, 12*time.Second, seed, withPoisonRequests(2)).tallyCrashes()
