--- a/internal/callpath/headers_test.go
+++ b/internal/callpath/headers_test.go
@@ -15,6 +15,7 @@
 		HeaderVersion: "Version", HeaderRateLimit: "Rate-Limit", HeaderDraining: "Draining", headerAttempt: "Attempt", headerUpstream: "Upstream", headerIncarnation: "Incarnation",
 		headerUrgency: "Urgency", headerNested: "Nested", headerRepeated: "Repeated", headerLeft: "Left-Us",
 		headerSent: "Sent-Us", headerObjective: "Objective-Us", headerLoad: "Load", headerSuspect: "Suspect", headerAnyHost: "Any-Host", headerClock: "Clock",
+		HeaderWorkspaceKey: "Workspace-Key", HeaderWorkspace: "Workspace", headerFlow: "Flow", headerTook: "Took-Us",
 		HeaderPace: "Pace", headerAnswerBytes: "Answer-Bytes", headerEgress: "Egress-Us",
 	} {
 		if name != headerPrefix+want || http.CanonicalHeaderKey(name) != name || strings.ContainsAny(name, ". ") {
