Refusal rates of services that get no calls expire

Cause: the mean of a service's owners decays only with its attempts, and only the statistics of upstreams expired.

Fix: the rates of a service expire with the statistics of its upstreams, ten minutes after the last attempt.

Before: TestRefusalRatesOfUnusedServicesExpire finds a rate of 0.87 after twenty minutes. After: it passes, as do all tests of the package.

--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -215,7 +215,7 @@
 	return changed
 }
 
-// statsRetention is how long the statistics of an unused upstream are kept.
+// statsRetention is how long the statistics of an unused upstream or service are kept.
 const statsRetention = 10 * time.Minute
 
 // Loads returns the loads that owners reported recently.
@@ -249,6 +249,11 @@
 			delete(p.stats, id)
 		}
 	}
+	for service, r := range p.refusals {
+		if now.Sub(r.all.updatedAt) > statsRetention {
+			delete(p.refusals, service)
+		}
+	}
 }
 
 // Rendezvous returns the upstream with the highest rendezvous hash for the key.
--- a/internal/pick/refusals_test.go
+++ b/internal/pick/refusals_test.go
@@ -68,3 +68,20 @@
 	is.True(p.refusalRate(&view.Upstream{Service: "s"}, p.stats["a"], config.Normal, now) < 0.05)
 	is.True(p.refusalRate(&view.Upstream{Service: "s"}, nil, config.Normal, now) < 0.05) // an upstream without statistics
 }
+
+// TestRefusalRatesOfUnusedServicesExpire guards against refusal rates that are kept forever: a
+// service that gets no more calls, or no longer exists, would count as one that refuses them.
+func TestRefusalRatesOfUnusedServicesExpire(t *testing.T) {
+	is := is.New(t)
+	f := newPickerFixture("d")
+	full := view.Upstream{ID: "full", Service: "unused"}
+	for range 100 {
+		f.Observe(full, config.Normal, outcome.Refuse(outcome.ReasonOverload, time.Millisecond))
+	}
+	is.True(f.refusalRate(&full, nil, config.Normal, f.at) > 0.8)
+	f.at = f.at.Add(2 * statsRetention)
+	_, _, ok := f.Pick(f.service, Criteria{Urgency: config.Normal})
+	is.True(ok)
+	is.Equal(f.refusalRate(&full, nil, config.Normal, f.at), 0.0)
+	is.Equal(len(f.refusals), 0)
+}
