Copies of a suspect with two crashes start nowhere while a run of it is announced

Cause: copies of a suspect are sent to one of the usable upstreams and run there one at a time, but daemons differ in which upstreams they consider usable. Copies start at several of them before the first has crashed.

Fix: the owner of a run of a suspect with two crashes or more announces its begin and its end in the record of the suspect, which is gossiped at once. Until the end, or for one second, owners of other upstreams refuse copies as the owner of the run does. Choosing the upstream more strictly at the sender was weighed: it lets a copy of a single poison request run late.

--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -103,6 +103,7 @@
 	if refusal := vm.owner.checkSuspect(vm.local, &a); refusal.Reason != "" {
 		return nil, refusal.Reason
 	}
+	s.propagate(vm)
 	if k.poison {
 		s.crashes.runsByPath[c.attempt.URL.Path] = append(s.crashes.runsByPath[c.attempt.URL.Path], s.now)
 		s.after(simCrashDelay, func() {
@@ -117,7 +118,7 @@
 	vm.runs[id] = &simRun{attempt: &a, onCrash: onCrash}
 	return func(status int) {
 		delete(vm.runs, id)
-		vm.local.attempts.remove(&a)
+		vm.owner.endAttempt(vm.local, &a)
 		vm.owner.recordAnswer(&a, status)
 		s.propagate(vm)
 	}, ""
@@ -138,7 +139,7 @@
 	clear(vm.runs)
 	c := crash{n: vm.simUpstream.crashCount, culprit: vm.local.attempts.culprit(vm.suspects)}
 	for _, r := range runs {
-		vm.local.attempts.remove(r.attempt)
+		vm.owner.endAttempt(vm.local, r.attempt)
 		vm.owner.recordCrash(r.attempt, c)
 	}
 	for _, r := range runs {
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -56,7 +56,7 @@
 // refuseAdmitted releases the slot of an attempt that was admitted but not run, and
 // refuses the attempt.
 func (o *Owner) refuseAdmitted(loc *localUpstream, a *Attempt, r outcome.Result) outcome.Result {
-	loc.attempts.remove(a)
+	o.endAttempt(loc, a)
 	if r.Reached() {
 		loc.gate.Release(0)
 	} else {
@@ -158,7 +158,7 @@
 		ReadCloser: res.Body,
 		onReadEnd:  func(err error) { o.bodyReadEnded(ctx, loc, a, res.StatusCode, err) },
 		onClose: func() {
-			loc.attempts.remove(a)
+			o.endAttempt(loc, a)
 			loc.gate.Release(o.cfg.Now().Sub(began))
 			o.ledger.Finish(a.ID)
 		},
@@ -188,7 +188,7 @@
 // to have run only if no connection could be opened or if it was withheld before anything
 // was sent; in all other cases it may have run.
 func (o *Owner) failed(ctx context.Context, loc *localUpstream, a *Attempt, began time.Time, err error) outcome.Result {
-	defer loc.attempts.remove(a)
+	defer o.endAttempt(loc, a)
 	err = errors.Wrapf(err, "call upstream %s at %s", a.Upstream, loc.addr)
 	reason, unsent := withheldReason(err)
 	if notSent(err) {
--- a/internal/callpath/runningattempts.go
+++ b/internal/callpath/runningattempts.go
@@ -51,10 +51,13 @@
 	return reason
 }
 
-func (r *runningAttempts) remove(a *Attempt) {
+// remove removes an attempt and reports whether it was there.
+func (r *runningAttempts) remove(a *Attempt) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	_, running := r.attempts[a]
 	delete(r.attempts, a)
+	return running
 }
 
 // culprit returns the request to which a crash of the upstream that is running these
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -59,14 +59,21 @@
 const isolationThreshold = suspect.QuarantineThreshold - 1
 
 // checkSuspect refuses an attempt that must not run now because of the crashes recorded
-// for its request. If it returns no reason, the attempt has been added to loc.attempts
-// and must be removed when it ends.
+// for its request. If it returns no reason, the attempt has been added to loc.attempts, and
+// endAttempt must follow.
 func (o *Owner) checkSuspect(loc *localUpstream, a *Attempt) outcome.Result {
 	if refusal, blocked := quarantined(o.cfg.Suspects, a, o.cfg.Now()); blocked {
 		return refusal
 	}
+	isolated := crashCount(o.cfg.Suspects, a) >= isolationThreshold
+	if isolated && o.cfg.Suspects.RunsElsewhere(a.digest(), a.Upstream) {
+		return outcome.Refuse(outcome.ReasonSuspectRunning, suspectRetryAfter)
+	}
 	switch reason := loc.attempts.tryAdd(o.cfg.Suspects, a); reason {
 	case "":
+		if isolated {
+			o.cfg.Suspects.BeginRun(a.digest(), a.Upstream)
+		}
 		return outcome.Result{}
 	case outcome.ReasonSuspectRunning:
 		return outcome.Refuse(reason, suspectRetryAfter)
@@ -75,6 +82,14 @@
 	}
 }
 
+// endAttempt removes an attempt that has ended or is refused. If its run was announced, so is
+// the end of the run.
+func (o *Owner) endAttempt(loc *localUpstream, a *Attempt) {
+	if loc.attempts.remove(a) && o.cfg.Suspects.Any() {
+		o.cfg.Suspects.EndRun(a.digest(), a.Upstream)
+	}
+}
+
 // recordCrash records that an upstream crashed while it ran the attempt. Only the culprit
 // of the crash can be moved into quarantine by it; otherwise requests that run beside a
 // poison request would be quarantined too. Crashes of other upstreams that this daemon has
--- a/internal/callpath/suspects_test.go
+++ b/internal/callpath/suspects_test.go
@@ -278,6 +278,49 @@
 	is.Equal(rs.tryAdd(tab, bystander), outcome.Reason(""))
 }
 
+// TestSuspectRunsAtOneUpstreamAtATime guards against copies of a suspect with two crashes that
+// start at several upstreams because daemons differ in where they send them. A copy that is
+// refused must not end the run that keeps it from starting.
+func TestSuspectRunsAtOneUpstreamAtATime(t *testing.T) {
+	is := is.New(t)
+	attempt := func(upstream string) *Attempt {
+		return &Attempt{Method: http.MethodGet, URL: mustURL(t, "/a"), Upstream: upstream}
+	}
+	newOwner := func() *Owner {
+		return &Owner{cfg: OwnerConfig{Suspects: suspect.NewTable(time.Now), Now: time.Now}, recent: suspect.NewRecent(time.Now)}
+	}
+	one, two := newOwner(), newOwner()
+	exchange := func() {
+		for _, rec := range one.cfg.Suspects.Records() {
+			two.cfg.Suspects.Merge(rec)
+		}
+		for _, rec := range two.cfg.Suspects.Records() {
+			one.cfg.Suspects.Merge(rec)
+		}
+	}
+	first, second := attempt("u1"), attempt("u2")
+	for n := range isolationThreshold {
+		one.cfg.Suspects.RecordUnattributedCrash(first.digest(), suspect.CrashID(n+1))
+	}
+	exchange()
+	var locOne, locTwo localUpstream
+	is.Equal(one.checkSuspect(&locOne, first).Reason, outcome.Reason(""))
+	exchange()
+	for _, refused := range []struct {
+		owner *Owner
+		loc   *localUpstream
+		a     *Attempt
+	}{{two, &locTwo, second}, {one, &locOne, attempt("u1")}} {
+		is.Equal(refused.owner.checkSuspect(refused.loc, refused.a).Reason, outcome.ReasonSuspectRunning)
+		refused.owner.endAttempt(refused.loc, refused.a)
+		exchange()
+	}
+	is.Equal(two.checkSuspect(&locTwo, second).Reason, outcome.ReasonSuspectRunning) // the first still runs
+	one.endAttempt(&locOne, first)
+	exchange()
+	is.Equal(two.checkSuspect(&locTwo, second).Reason, outcome.Reason(""))
+}
+
 func mustURL(t *testing.T, text string) *url.URL {
 	t.Helper()
 	u, err := url.Parse(text)
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -39,6 +40,28 @@
 	return CrashID(h.Sum64())
 }
 
+// Run is an announced run of a suspect: while it lasts, other daemons start no copy of the
+// request.
+type Run struct {
+	// Seq increases with each announced run of a round.
+	Seq uint32 `json:"n"`
+	// Upstream is the ID of the upstream that runs the request.
+	Upstream string `json:"u"`
+	Ended    bool   `json:"e,omitempty"`
+}
+
+// maxUpstreamIDBytes is the maximum length of the ID of an upstream in a record, in bytes.
+const maxUpstreamIDBytes = 255
+
+// latestRun returns the later of two runs of a round. Of runs that were announced at the same
+// time, all daemons keep the same one.
+func latestRun(a, b Run) Run {
+	if cmp.Or(cmp.Compare(a.Seq, b.Seq), cmp.Compare(a.Upstream, b.Upstream)) < 0 || a.Seq == b.Seq && a.Upstream == b.Upstream && b.Ended {
+		return b
+	}
+	return a
+}
+
 // Record is what a daemon knows about one suspected request. Merging records of a request
 // gives the same result in whatever order, and however often, they are merged.
 type Record struct {
@@ -55,6 +78,9 @@
 	// Unattributed is set while none of the crashes is attributed to the request: at each
 	// upstream other requests may have caused the crash as well.
 	Unattributed bool `json:"u,omitempty"`
+	// Run is the last run of the request that was announced in this round, unless the request
+	// is quarantined.
+	Run Run `json:"run,omitzero"`
 	// At is when the record last changed, in Unix milliseconds by the clock of the daemon
 	// that changed it.
 	At int64 `json:"t"`
@@ -64,7 +90,9 @@
 func (r Record) Quarantined() bool { return len(r.Crashes) >= QuarantineThreshold && !r.Unattributed }
 
 // Valid reports whether a record could have been produced by a Table.
-func (r Record) Valid() bool { return r.Digest != 0 && len(r.Crashes) <= QuarantineThreshold }
+func (r Record) Valid() bool {
+	return r.Digest != 0 && len(r.Crashes) <= QuarantineThreshold && len(r.Run.Upstream) <= maxUpstreamIDBytes
+}
 
 // merged returns the merge of two records of the same request: the record of the later
 // round or, within one round, the union of their crashes.
@@ -78,11 +106,15 @@
 	crashes := slices.Concat(r.Crashes, o.Crashes)
 	slices.Sort(crashes)
 	crashes = slices.Compact(crashes)
-	return Record{
+	merged := Record{
 		Digest: r.Digest, Round: r.Round, ClearedUnanswered: r.ClearedUnanswered || o.ClearedUnanswered,
 		Crashes: crashes[:min(len(crashes), QuarantineThreshold)], At: max(r.At, o.At),
 		Unattributed: len(crashes) > 0 && !r.attributed() && !o.attributed(),
 	}
+	if !merged.Quarantined() {
+		merged.Run = latestRun(r.Run, o.Run)
+	}
+	return merged
 }
 
 // attributed reports whether a crash of the record is attributed to the request.
@@ -91,7 +123,7 @@
 // Same reports whether two records of a request are equal but for the time of their last
 // change.
 func (r Record) Same(o Record) bool {
-	return r.Round == o.Round && r.ClearedUnanswered == o.ClearedUnanswered && r.Unattributed == o.Unattributed && slices.Equal(r.Crashes, o.Crashes)
+	return r.Round == o.Round && r.ClearedUnanswered == o.ClearedUnanswered && r.Unattributed == o.Unattributed && r.Run == o.Run && slices.Equal(r.Crashes, o.Crashes)
 }
 
 // Expired reports whether a record is past its retention period.
@@ -118,5 +150,11 @@
 	if r.Unattributed {
 		nums = append(nums, 0)
 	}
+	if r.Run != (Run{}) {
+		nums = append(nums, uint64(r.Run.Seq), xxhash.Sum64String(r.Run.Upstream))
+	}
+	if r.Run.Ended {
+		nums = append(nums, 0)
+	}
 	return xxhash.Sum64(bigEndianBytes(nums...))
 }
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -39,6 +39,8 @@
 	// changed since.
 	reported Record
 	pending  bool
+	// runChangedAt is when Run last changed here.
+	runChangedAt time.Time
 }
 
 // Change is a record that has changed, with the number of crashes that it had when Changes
@@ -127,6 +129,45 @@
 	return t.merge(Record{Digest: d, Round: r.Round + 1, ClearedUnanswered: unanswered, At: t.now().UnixMilli()})
 }
 
+// maxAnnouncedRun is how long an announced run keeps copies of the request from starting: longer
+// than most runs take. The end of a run is not announced if the daemon that runs it is killed.
+const maxAnnouncedRun = time.Second
+
+// BeginRun announces that an upstream runs a suspect. EndRun must follow.
+func (t *Table) BeginRun(d Digest, upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[d]; r != nil {
+		t.merge(Record{Digest: d, Round: r.Round, Run: Run{Seq: r.Run.Seq + 1, Upstream: upstream}, At: t.now().UnixMilli()})
+	}
+}
+
+// EndRun announces the end of a run. It does nothing if the run was not announced, or another
+// one was since.
+func (t *Table) EndRun(d Digest, upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[d]
+	if r == nil || r.Run.Upstream != upstream || r.Run.Ended {
+		return
+	}
+	ended := r.Run
+	ended.Ended = true
+	t.merge(Record{Digest: d, Round: r.Round, Run: ended, At: t.now().UnixMilli()})
+}
+
+// RunsElsewhere reports whether a run of the request at another upstream has been announced
+// and has not ended.
+func (t *Table) RunsElsewhere(d Digest, upstream string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[d]
+	if r == nil || r.Run.Upstream == "" || r.Run.Ended || r.Run.Upstream == upstream {
+		return false
+	}
+	return t.now().Sub(r.runChangedAt) < maxAnnouncedRun
+}
+
 // Merge merges a record from another daemon. It reports whether that changed the table.
 func (t *Table) Merge(o Record) bool {
 	t.mu.Lock()
@@ -154,6 +195,9 @@
 	}
 	next := r.merged(o)
 	t.updateSuspected(len(r.Crashes), len(next.Crashes))
+	if next.Run != r.Run {
+		r.runChangedAt = t.now()
+	}
 	r.Record = next
 	if !r.pending {
 		r.pending = true
--- a/internal/suspect/table_test.go
+++ b/internal/suspect/table_test.go
@@ -37,7 +37,7 @@
 	is.True(tab.Any())
 }
 
-// TestMergeDoesNotDependOnOrder applies random crashes, answers and merges to three tables.
+// TestMergeDoesNotDependOnOrder applies random crashes, answers, runs and merges to three tables.
 // After all have exchanged their records they must be equal; otherwise daemons would
 // disagree on which requests are quarantined.
 func TestMergeDoesNotDependOnOrder(t *testing.T) {
@@ -47,7 +47,7 @@
 		for range rapid.IntRange(1, 40).Draw(rt, "ops") {
 			tab := tabs[rapid.IntRange(0, 2).Draw(rt, "table")]
 			d := Digest(rapid.IntRange(1, 3).Draw(rt, "digest"))
-			switch rapid.IntRange(0, 4).Draw(rt, "op") {
+			switch rapid.IntRange(0, 6).Draw(rt, "op") {
 			case 0:
 				tab.RecordCrash(d, CrashID(rapid.IntRange(1, 6).Draw(rt, "end")))
 			case 1:
@@ -56,6 +56,10 @@
 				tab.ClearUnanswered(d)
 			case 3:
 				tab.RecordUnattributedCrash(d, CrashID(rapid.IntRange(1, 6).Draw(rt, "unattributed end")))
+			case 4:
+				tab.BeginRun(d, rapid.SampledFrom([]string{"u1", "u2"}).Draw(rt, "begins at"))
+			case 5:
+				tab.EndRun(d, rapid.SampledFrom([]string{"u1", "u2"}).Draw(rt, "ends at"))
 			default:
 				mergeAll(tab, tabs[rapid.IntRange(0, 2).Draw(rt, "from")])
 			}
@@ -85,6 +89,42 @@
 	}
 }
 
+// TestAnnouncedRunKeepsCopiesElsewhereFromStarting guards against copies of a suspect that start
+// at other upstreams while one of them runs it, and against a run that keeps them from starting
+// forever because its end was never announced.
+func TestAnnouncedRunKeepsCopiesElsewhereFromStarting(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	here, there := NewTable(c.now), NewTable(c.now)
+	exchange := func() {
+		mergeAll(here, there)
+		mergeAll(there, here)
+	}
+	here.RecordCrash(7, 1)
+	exchange()
+	here.BeginRun(7, "u1")
+	is.True(!there.RunsElsewhere(7, "u2")) // not announced there yet
+	exchange()
+	is.True(there.RunsElsewhere(7, "u2"))
+	is.True(!here.RunsElsewhere(7, "u1"))
+	here.EndRun(7, "u1")
+	exchange()
+	is.True(!there.RunsElsewhere(7, "u2"))
+
+	there.BeginRun(7, "u2")
+	exchange()
+	here.EndRun(7, "u1") // not the run that was announced last
+	is.True(here.RunsElsewhere(7, "u1"))
+	c.at = c.at.Add(maxAnnouncedRun)
+	is.True(!here.RunsElsewhere(7, "u1"))
+
+	there.BeginRun(7, "u2")
+	exchange()
+	is.True(there.Answered(7))
+	exchange()
+	is.True(!here.RunsElsewhere(7, "u1")) // no longer a suspect
+}
+
 // TestTableIsBounded floods a table with requests that are suspected of one crash each.
 // The table must keep MaxRecords records, and must not evict the request that is one
 // crash short of quarantine.
--- a/internal/system/suspects.go
+++ b/internal/system/suspects.go
@@ -166,6 +166,7 @@
 		}
 	}
 	for _, r := range w.Suspects.Records() {
+		r.Run = suspect.Run{} // over before anybody reads the record from the store
 		stored, ok := q.Stored[r.Digest]
 		missing := !ok && r.Quarantined() || ok && !stored.Same(r)
 		if missing && takeStoreTurn(w, now, r.Digest, due) {
