A stopping daemon gives up no call because its owner is silent

Cause: since the mend of silent owners a call that may not be repeated is given up once its owner has sent nothing for 1.5 s, also by a daemon that is stopping and has the time to wait.

Fix: while a daemon stops, it waits for the responses of silent owners until its calls end.

Before: TestStoppingDaemonKeepsCallsAtASilentOwner gets unknown after 1.9 s. After: it and the tests of silent owners, inquiries and stops pass.

--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -131,6 +131,7 @@
 		incarnationID: uuid.NewString(),
 	}
 	in.remote.onOwnerUnreachable = in.markOwnerDown
+	in.remote.leaving = &in.leaving
 	in.remote.suspects = cfg.Suspects
 	in.remote.countCrossDomain(cfg.Domain, cfg.Metrics.CrossDomain)
 	in.remote.compressed = cfg.Metrics.Compress
--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -77,9 +77,9 @@
 // that has had no response, and cancels the attempt if its connection turns out to be
 // silent. If the owner cannot be asked, a repeatable call is better sent elsewhere; the
 // response to a call that is not repeatable may still arrive, so that it is given up only
-// once the owner has sent nothing to any attempt for maxOwnerSilence. A repeatable attempt
-// that has finished at the owner but whose response does not arrive is treated as if the
-// owner could not be asked.
+// once the owner has sent nothing to any attempt for maxOwnerSilence, and not while this daemon
+// stops. A repeatable attempt that has finished at the owner but whose response does not arrive
+// is treated as if the owner could not be asked.
 func (r *remote) monitorAttempt(ctx context.Context, cancel context.CancelCauseFunc, u view.Upstream, a *Attempt, interval time.Duration) {
 	p := r.pool(u.Owner)
 	unansweredSince := time.Now().Add(-interval) // the first inquiry is due an interval after the attempt
@@ -107,7 +107,7 @@
 		if !pause(ctx, delay) {
 			return
 		}
-		if silent && !a.Repeatable && time.Since(later(p.lastHeard(), unansweredSince)) >= maxOwnerSilence {
+		if silent && !a.Repeatable && !r.leaving.Load() && time.Since(later(p.lastHeard(), unansweredSince)) >= maxOwnerSilence {
 			cancel(errOwnerSilent)
 			return
 		}
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -62,6 +63,9 @@
 	compressed *compress.Metrics
 	// suspects is the table of suspects that the whole daemon shares.
 	suspects *suspect.Table
+	// leaving is set while this daemon stops: it waits for the responses to its attempts as
+	// long as it can, also if an owner is silent.
+	leaving *atomic.Bool
 	// callsCtx is cancelled when attempts must end because the process is about to exit.
 	callsCtx context.Context
 	// inquiryTransport opens a new connection for each inquiry, so that a silent one
@@ -80,6 +84,7 @@
 			DisableKeepAlives: true,
 		},
 		onOwnerUnreachable: func(view.Upstream, bool) {},
+		leaving:            new(atomic.Bool),
 		owners:             map[string]*pool{},
 	}
 }
--- a/internal/callpath/silentowner_test.go
+++ b/internal/callpath/silentowner_test.go
@@ -133,15 +133,15 @@
 	<-early
 }
 
-// TestCallsOutliveAShortSilenceOfTheirOwner guards against calls that are given up although
-// their owner sends again soon, for example after a pause of its process.
-func TestCallsOutliveAShortSilenceOfTheirOwner(t *testing.T) {
-	const service = 2 * time.Second
+// newSilentInquiriesRig returns a rig of one worker with calls of ten seconds, and a flag that
+// makes inquiries go unanswered while it is set.
+func newSilentInquiriesRig(t *testing.T, service time.Duration) (*rig, *atomic.Bool) {
+	t.Helper()
 	r := newRig(t, 1, 8, service)
 	r.timeout = 10 * time.Second
 	r.ingress.remote.inquireAfter = silentInquireAfter
 	r.update()
-	var silent atomic.Bool
+	silent := new(atomic.Bool)
 	dial := r.ingress.remote.inquiryTransport.DialContext
 	r.ingress.remote.inquiryTransport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if silent.Load() {
@@ -150,6 +150,14 @@
 		}
 		return dial(ctx, network, addr)
 	}
+	return r, silent
+}
+
+// TestCallsOutliveAShortSilenceOfTheirOwner guards against calls that are given up although
+// their owner sends again soon, for example after a pause of its process.
+func TestCallsOutliveAShortSilenceOfTheirOwner(t *testing.T) {
+	const service = 2 * time.Second
+	r, silent := newSilentInquiriesRig(t, service)
 	got := make(chan sample, 1)
 	go func() { got <- r.send(config.Normal) }()
 	time.Sleep(silentInquireAfter / 2)
@@ -160,3 +168,19 @@
 		t.Errorf("outcome %q after %v, want answered", s.outcome, s.took)
 	}
 }
+
+// TestStoppingDaemonKeepsCallsAtASilentOwner guards against calls that a stopping daemon gives up
+// although it has time to wait for their responses: the owner is silent for longer than a
+// daemon waits that does not stop.
+func TestStoppingDaemonKeepsCallsAtASilentOwner(t *testing.T) {
+	const service = 3 * time.Second
+	r, silent := newSilentInquiriesRig(t, service)
+	got := make(chan sample, 1)
+	go func() { got <- r.send(config.Normal) }()
+	time.Sleep(silentInquireAfter / 2)
+	silent.Store(true)
+	r.ingress.CloseConnections()
+	if s := <-got; s.outcome != string(outcome.Answered) {
+		t.Errorf("outcome %q after %v, want answered", s.outcome, s.took)
+	}
+}
