A long upstream ID does not make daemons reject the record of a suspect

Callers saw nothing; found while the change was read. Other daemons reject a record whose run names an upstream with an ID of more than 255 bytes, and with it the crashes of the request, so that a poison request would be known at one daemon only.

Fix: such a run is not announced.

Before: TestLongUpstreamIDDoesNotInvalidateRecord fails. After: it passes.

--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -133,11 +133,12 @@
 // than most runs take. The end of a run is not announced if the daemon that runs it is killed.
 const maxAnnouncedRun = time.Second
 
-// BeginRun announces that an upstream runs a suspect. EndRun must follow.
+// BeginRun announces that an upstream runs a suspect. EndRun must follow. A run at an upstream
+// with a longer ID than a record may hold is not announced.
 func (t *Table) BeginRun(d Digest, upstream string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.rows[d]; r != nil {
+	if r := t.rows[d]; r != nil && len(upstream) <= maxUpstreamIDBytes {
 		t.merge(Record{Digest: d, Round: r.Round, Run: Run{Seq: r.Run.Seq + 1, Upstream: upstream}, At: t.now().UnixMilli()})
 	}
 }
--- a/internal/suspect/table_test.go
+++ b/internal/suspect/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +126,17 @@
 	is.True(!here.RunsElsewhere(7, "u1")) // no longer a suspect
 }
 
+// TestLongUpstreamIDDoesNotInvalidateRecord guards against a record that other daemons reject, with
+// all its crashes, because the ID of the upstream in its run is too long.
+func TestLongUpstreamIDDoesNotInvalidateRecord(t *testing.T) {
+	is := is.New(t)
+	tab := NewTable(newClock().now)
+	tab.RecordCrash(7, 1)
+	tab.BeginRun(7, strings.Repeat("u", maxUpstreamIDBytes+1))
+	rec, _ := tab.Record(7)
+	is.True(rec.Valid())
+}
+
 // TestTableIsBounded floods a table with requests that are suspected of one crash each.
 // The table must keep MaxRecords records, and must not evict the request that is one
 // crash short of quarantine.
