--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -51,8 +51,8 @@
 	is.NoErr(l.Close()) // http.Server.Shutdown closes it again
 }
 
-// TestDrainEndsIfListenerIsClosedFirst guards against a drain that waits forever, because the
-// process was killed, which closes the listener, before Accept had seen the drain.
+// TestDrainEndsIfListenerIsClosedFirst guards against a drain that waits forever because Kill has
+// closed the listener before Accept saw the deadline that drain sets.
 func TestDrainEndsIfListenerIsClosedFirst(t *testing.T) {
 	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
--- a/internal/system/suspects.go
+++ b/internal/system/suspects.go
@@ -166,7 +166,7 @@
 		}
 	}
 	for _, r := range w.Suspects.Records() {
-		r.Run = suspect.Run{} // over before anybody reads the record from the store
+		r.Run = suspect.Run{} // the run has ended by the time the record is read from the store
 		stored, ok := q.Stored[r.Digest]
 		missing := !ok && r.Quarantined() || ok && !stored.Same(r)
 		if missing && takeStoreTurn(w, now, r.Digest, due) {
