--- a/review/standin/cmd/extrabytes/main.go
+++ b/review/standin/cmd/extrabytes/main.go
@@ -1,5 +1,6 @@
 // Command extrabytes plays a faulty worker that sends additional bytes after complete answers.
-// With TROUBLE=0 the worker is sound.
+// With TROUBLE=0 the worker is sound. With TROUBLE=shed the bytes look like the answer of a worker
+// that sheds, and TWICE is judged in place of REFUSED.
 package main
 
 import (
@@ -18,18 +19,21 @@
 	measured = 25 * time.Second
 )
 
-func main() { os.Exit(play(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")) }
+func main() { os.Exit(play(os.Args[1], os.Args[2], os.Getenv("TROUBLE"))) }
 
-func play(record, bin string, trouble bool) int {
+func play(record, bin, trouble string) int {
 	b := bed.New(record, bin, []string{"ikeja", "lekki", "yaba"})
 	defer b.Close()
 	b.Configure(7)
 	for i, v := range b.VMs {
 		v.StartDaemon()
 		var flags []string
-		if i == 0 && trouble {
+		if i == 0 && trouble != "0" {
 			flags = []string{"-extra", fmt.Sprint(part)}
 		}
+		if i == 0 && trouble == "shed" {
+			flags = append(flags, "-shed")
+		}
 		v.StartWorker(fmt.Sprintf("i-aaaa%04d", i+1), work, flags...)
 	}
 	b.AwaitReady()
@@ -39,9 +43,30 @@
 	time.Sleep(measured)
 	close(stop)
 	wait()
+	if trouble == "shed" {
+		return judgeTwice(b)
+	}
 	return judge(b)
 }
 
+// judgeTwice counts the requests that break TWICE: not idempotent, and run more than once.
+func judgeTwice(b *bed.Bed) int {
+	broken := 0
+	for _, r := range b.Requests() {
+		if r.Kind == "unsafe" && len(r.RunAt) > 1 {
+			broken++
+			b.Note("request %s ran at %v", r.ID, r.RunBy)
+		}
+	}
+	b.Note("unsafe requests that ran more than once: %d", broken)
+	if broken > 0 {
+		b.Note("TWICE is broken")
+		return bed.Broken
+	}
+	b.Note("TWICE held")
+	return bed.Held
+}
+
 // judge counts the requests that break REFUSED: not idempotent, answered with a status that
 // promises that they have not run, and run.
 func judge(b *bed.Bed) int {
--- a/review/standin/cmd/worker/main.go
+++ b/review/standin/cmd/worker/main.go
@@ -10,7 +10,8 @@
 // of the request has closed meanwhile.
 //
 // With -extra P it is faulty: after a part P of its answers it sends additional bytes late, where
-// the answer to the next request on the connection is expected.
+// the answer to the next request on the connection is expected. With -shed these look like the
+// answer of a worker that sheds.
 package main
 
 import (
@@ -56,8 +57,12 @@
 	flag.IntVar(&w.slots, "slots", 12, "requests that it runs at once")
 	flag.DurationVar(&w.work, "work", 100*time.Millisecond, "how long a request runs")
 	beat := flag.Duration("beat", 870*time.Millisecond, "interval of its heartbeats")
+	shed := flag.Bool("shed", false, "additional bytes look like the answer of a worker that sheds")
 	flag.Float64Var(&w.extra, "extra", 0, "part of the answers after which it sends additional bytes")
 	flag.Parse()
+	if *shed {
+		additional = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
 	w.queue = make(chan struct{}, w.slots)
 	w.state.Store("ready")
 	ln, err := net.Listen("tcp", w.addr)
@@ -104,7 +109,7 @@
 const crashAfter = 300 * time.Millisecond
 
 // additional are bytes that belong to no request.
-const additional = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+var additional = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 // Read implements net.Conn.
 func (c *faultyConn) Read(b []byte) (int, error) {
