--- a/review/standin/bed/bed.go
+++ b/review/standin/bed/bed.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -52,6 +53,8 @@
 	processes []*exec.Cmd
 	requests  int
 	sent      map[string]*Request
+	// given holds the addresses that freeAddr has returned.
+	given map[string]bool
 }
 
 // VM is a machine with a daemon and a worker.
@@ -123,7 +126,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
-	b := &Bed{bin: bin, began: time.Now(), record: record, sent: map[string]*Request{}}
+	b := &Bed{bin: bin, began: time.Now(), record: record, sent: map[string]*Request{}, given: map[string]bool{}}
 	if b.dir, err = os.MkdirTemp("", "case"); err != nil {
 		b.Fail("%v", err)
 	}
@@ -133,8 +136,10 @@
 		b.Fail("store: %v", err)
 	}
 	b.store = strings.TrimSpace(line)
+	// Loopback addresses of its own keep a run apart from others on the same machine.
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for i, zone := range zones {
-		b.VMs = append(b.VMs, b.newVM(fmt.Sprintf("sidecar-%s-%d", zone, i+1), zone, zones, fmt.Sprintf("127.0.1.%d", i+1)))
+		b.VMs = append(b.VMs, b.newVM(fmt.Sprintf("sidecar-%s-%d", zone, i+1), zone, zones, fmt.Sprintf("%s.%d", network, i+1)))
 	}
 	return b
 }
@@ -176,13 +181,27 @@
 	b.record.Close()
 }
 
+// The ports of daemons and workers, which are free for a moment while one is started again, lie
+// below those that the system gives to outgoing connections.
+const (
+	firstPort = 10_000
+	endPort   = 30_000
+)
+
+// freeAddr returns a free address that it has not returned before.
 func (b *Bed) freeAddr(ip string) string {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		b.Fail("%v", err)
+	for range 100 {
+		addr := fmt.Sprintf("%s:%d", ip, firstPort+rand.IntN(endPort-firstPort))
+		ln, err := net.Listen("tcp", addr)
+		if err != nil || b.given[addr] {
+			continue
+		}
+		ln.Close()
+		b.given[addr] = true
+		return addr
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	b.Fail("no port is free at %s", ip)
+	return ""
 }
 
 func (b *Bed) newVM(name, zone string, zones []string, ip string) *VM {
@@ -190,7 +209,7 @@
 	for _, a := range []*string{&v.callers, &v.owner, &v.ready, &v.control, &v.peers, &v.upstream, &v.metrics} {
 		*a = b.freeAddr(ip)
 	}
-	v.admin, v.local = b.freeAddr("127.0.0.1"), b.freeAddr("127.0.0.1")
+	v.admin, v.local = b.freeAddr(ip), b.freeAddr(ip)
 	v.Proxy = b.newProxy(ip, v.control)
 	quoted, _ := json.Marshal(zones)
 	text := fmt.Sprintf(settingsText, name, zone, quoted, v.callers, v.owner, v.peers, v.admin, v.local,
