Log lines tell which announcement opened or closed an upstream

A log of the incident could not tell its hypotheses apart: a late announcement was dropped without a line, and upstream-announced did not say its sequence, or whether the daemon had just started.

Now upstream-announced and upstream-draining carry what the announcement says of itself and how long the daemon has been running, announced-late is a line of its own with the reason, upstream-gone says whether the row was deregistered, lapsed or displaced and whether it was draining, and announcements.ignored counts the late ones. No decision changes.

--- a/internal/agent/configmetrics.go
+++ b/internal/agent/configmetrics.go
@@ -13,7 +13,7 @@
 )
 
 // configMetrics are the metrics of this daemon's configuration: its version, its age, and the
-// numbers of documents read and refused. Only the loop writes them; readers of the metrics
+// numbers of documents read and refused, and of late announcements. Only the loop writes them; readers of the metrics
 // registry read them concurrently.
 type configMetrics struct {
 	version atomic.Uint64
@@ -28,12 +28,15 @@
 	// which were not put in force.
 	documentsRead    metrics.Counter
 	documentsRefused metrics.Counter
+	// announcementsIgnored counts the announcements of upstreams that were late.
+	announcementsIgnored metrics.Counter
 }
 
 // newConfigMetrics registers the metrics in r. Ages are in milliseconds, or -1 if unknown.
 func newConfigMetrics(r metrics.Registry) *configMetrics {
 	m := &configMetrics{
 		documentsRead: metrics.GetOrRegisterCounter("documents.read", r), documentsRefused: metrics.GetOrRegisterCounter("documents.refused", r),
+		announcementsIgnored: metrics.GetOrRegisterCounter("announcements.ignored", r),
 	}
 	gauge := func(name string, value func() int64) {
 		r.GetOrRegister("config."+name, metrics.NewFunctionalGauge(value))
@@ -73,7 +76,8 @@
 	}
 }
 
-// countEvent counts the events about documents. A document that was refused was also read.
+// countEvent counts the events about documents and late announcements. A document that was
+// refused was also read.
 func (m *configMetrics) countEvent(e event.Event) {
 	switch e.Kind {
 	case event.DocumentRead:
@@ -81,5 +85,7 @@
 	case event.DocumentRefused:
 		m.documentsRead.Inc(1)
 		m.documentsRefused.Inc(1)
+	case event.AnnouncedLate:
+		m.announcementsIgnored.Inc(1)
 	}
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -182,7 +182,7 @@
 		level = a.logger.Error()
 	case event.LogDown, event.StoreRestored, event.DocumentRefused, event.LinkLost, event.UpstreamRemoved, event.Quarantined, event.RolloutStopped, event.RolloutRefused, event.ConfigStale:
 		level = a.logger.Warn()
-	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining,
+	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining, event.AnnouncedLate,
 		event.Rollout, event.DocumentRead, event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged, event.ConfigFresh:
 		level = a.logger.Info()
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,7 @@
 	UpstreamRamped   Kind = "upstream-ramped"
 	UpstreamDraining Kind = "upstream-draining"
 	UpstreamRemoved  Kind = "upstream-gone"
+	AnnouncedLate    Kind = "announced-late"
 	MemberUp         Kind = "member-up"
 	MemberLapsed     Kind = "member-lapsed"
 	CallRefused      Kind = "call-refused"
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -14,14 +15,17 @@
 func receiveAnnouncement(w *table.World, now time.Time, a table.Local, out *Outbox) {
 	a.Until = now.Add(w.Params.UpstreamLapse)
 	old := w.Locals[a.ID]
-	if isPastIncarnation(w, a) || isOutOfOrder(old, a) {
+	if reason := lateAnnouncement(w, old, a); reason != "" {
+		out.event(event.Event{
+			Kind: event.AnnouncedLate, Service: a.Service, Peer: a.ID, Detail: reason + ": " + describeAnnouncement(w, now, a),
+		})
 		return
 	}
 	removeDisplaced(w, now, a, out)
 	if old == nil || old.Incarnation != a.Incarnation || old.Addr != a.Addr {
 		a.AnnouncedAtMs = now.UnixMilli()
 		w.Locals[a.ID] = &a
-		out.event(event.Event{Kind: event.UpstreamUp, Service: a.Service, Peer: a.ID})
+		out.event(event.Event{Kind: event.UpstreamUp, Service: a.Service, Peer: a.ID, Detail: describeAnnouncement(w, now, a)})
 		publishLocals(w)
 		return
 	}
@@ -30,7 +34,7 @@
 	a.Draining = a.Draining || old.Draining
 	changed := a.Upstream != old.Upstream || a.Conns != old.Conns
 	if a.Draining && !old.Draining {
-		out.event(event.Event{Kind: event.UpstreamDraining, Service: a.Service, Peer: a.ID})
+		out.event(event.Event{Kind: event.UpstreamDraining, Service: a.Service, Peer: a.ID, Detail: describeAnnouncement(w, now, a)})
 	}
 	*old = a
 	if changed {
@@ -38,18 +42,31 @@
 	}
 }
 
-// isPastIncarnation reports whether an announcement belongs to an incarnation that has
-// exited, or that was followed by a later one of the same name.
-func isPastIncarnation(w *table.World, a table.Local) bool {
+// describeAnnouncement returns what an announcement says of its sender and of its own age, and
+// how long this daemon has been running: what a restarted daemon is told may be of before its start.
+func describeAnnouncement(w *table.World, now time.Time, a table.Local) string {
+	state := "ready"
+	if a.Draining {
+		state = "draining"
+	}
+	return fmt.Sprintf("%s, sequence %d, started_ms %d, addr %s, daemon up %d ms", state, a.Sequence, a.StartedMs, a.Addr, now.Sub(w.Started).Milliseconds())
+}
+
+// lateAnnouncement returns why an announcement is known to be late, or "". The row of its
+// sender is nil if there is none.
+func lateAnnouncement(w *table.World, old *table.Local, a table.Local) string {
 	if d, ok := w.Departed[a.Name]; ok && a.StartedMs <= d.StartedMs {
-		return true
+		return "its incarnation has left"
 	}
 	for _, row := range w.Locals {
 		if row.Name == a.Name && row.StartedMs > a.StartedMs {
-			return true
+			return "a later incarnation is known"
 		}
 	}
-	return false
+	if isOutOfOrder(old, a) {
+		return fmt.Sprintf("sequence %d was received before", old.Sequence)
+	}
+	return ""
 }
 
 // isOutOfOrder reports whether a later announcement of the same incarnation was received
@@ -66,7 +83,7 @@
 	for _, id := range sortedKeys(w.Locals) {
 		if row := w.Locals[id]; id != a.ID && row.Addr == a.Addr {
 			recordDeparture(w, now, row.Name, row.StartedMs)
-			removeLocal(w, row, out)
+			removeLocal(w, row, "displaced at its address by "+a.ID, out)
 		}
 	}
 }
@@ -85,7 +102,7 @@
 			continue
 		}
 		startedMs = max(startedMs, row.StartedMs)
-		removeLocal(w, row, out)
+		removeLocal(w, row, "deregistered", out)
 	}
 	if _, known := w.Departed[r.Name]; startedMs == 0 && !known {
 		startedMs = math.MaxInt64 // incarnation unknown: ignore announcements of any
@@ -100,9 +117,12 @@
 }
 
 // removeLocal deletes the row of an upstream and publishes the change.
-func removeLocal(w *table.World, row *table.Local, out *Outbox) {
+func removeLocal(w *table.World, row *table.Local, reason string, out *Outbox) {
 	delete(w.Locals, row.ID)
-	out.event(event.Event{Kind: event.UpstreamRemoved, Service: row.Service, Peer: row.ID})
+	if row.Draining {
+		reason += ", was draining"
+	}
+	out.event(event.Event{Kind: event.UpstreamRemoved, Service: row.Service, Peer: row.ID, Detail: fmt.Sprintf("%s, last sequence %d", reason, row.Sequence)})
 	publishLocals(w)
 }
 
@@ -114,7 +134,7 @@
 		return
 	}
 	row.Draining = true
-	out.event(event.Event{Kind: event.UpstreamDraining, Service: row.Service, Peer: id})
+	out.event(event.Event{Kind: event.UpstreamDraining, Service: row.Service, Peer: id, Detail: "stated other than in an announcement"})
 	publishLocals(w)
 }
 
@@ -132,7 +152,7 @@
 			updateRamp(w, now, row, out)
 			continue
 		}
-		removeLocal(w, row, out)
+		removeLocal(w, row, "lapsed", out)
 	}
 }
 
