The lapse of an upstream's row no longer forgets that it was leaving

Callers' requests reached an upstream that had said, by a heartbeat or in its answers, that it was draining, and whose daemon had acknowledged that: for as long as it ran.

Cause: runUpstreams removed a row without announcements for upstream_lapse, also after a freeze of the daemon, and with it the sequence number and that the upstream was draining. A late announcement from before was then the first of an unknown upstream.

Change: the row of a draining upstream that lapses becomes a departure, like that of one that has deregistered; of another the last sequence number is kept for as long as late announcements are expected, so that one from before is recognized as out of order. Upstreams without sequence numbers announce themselves over loopback and are treated as before.

--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -15,7 +15,7 @@
 func receiveAnnouncement(w *table.World, now time.Time, a table.Local, out *Outbox) {
 	a.Until = now.Add(w.Params.UpstreamLapse)
 	old := w.Locals[a.ID]
-	if reason := lateAnnouncement(w, old, a); reason != "" {
+	if reason := lateAnnouncement(w, a); reason != "" {
 		out.event(event.Event{
 			Kind: event.AnnouncedLate, Service: a.Service, Peer: a.ID, Detail: reason + ": " + describeAnnouncement(w, now, a),
 		})
@@ -23,6 +23,7 @@
 	}
 	removeDisplaced(w, now, a, out)
 	if old == nil || old.Incarnation != a.Incarnation || old.Addr != a.Addr {
+		delete(w.Lapsed, a.ID)
 		a.AnnouncedAtMs = now.UnixMilli()
 		w.Locals[a.ID] = &a
 		out.event(event.Event{Kind: event.UpstreamUp, Service: a.Service, Peer: a.ID, Detail: describeAnnouncement(w, now, a)})
@@ -52,19 +53,20 @@
 	return fmt.Sprintf("%s, sequence %d, started_ms %d, addr %s, daemon up %d ms", state, a.Sequence, a.StartedMs, a.Addr, now.Sub(w.Started).Milliseconds())
 }
 
-// lateAnnouncement returns why an announcement is known to be late, or "". The row of its
-// sender is nil if there is none.
-func lateAnnouncement(w *table.World, old *table.Local, a table.Local) string {
+// lateAnnouncement returns why an announcement is known to be late, or "".
+func lateAnnouncement(w *table.World, a table.Local) string {
 	if d, ok := w.Departed[a.Name]; ok && a.StartedMs <= d.StartedMs {
 		return "its incarnation has left"
 	}
-	for _, row := range w.Locals {
-		if row.Name == a.Name && row.StartedMs > a.StartedMs {
-			return "a later incarnation is known"
+	for _, rows := range []map[string]*table.Local{w.Locals, w.Lapsed} {
+		for _, row := range rows {
+			if row.Name == a.Name && row.StartedMs > a.StartedMs {
+				return "a later incarnation is known"
+			}
+		}
+		if row := rows[a.ID]; row != nil && isOutOfOrder(row, a) {
+			return fmt.Sprintf("sequence %d was received before", row.Sequence)
 		}
-	}
-	if isOutOfOrder(old, a) {
-		return fmt.Sprintf("sequence %d was received before", old.Sequence)
 	}
 	return ""
 }
@@ -72,7 +74,7 @@
 // isOutOfOrder reports whether a later announcement of the same incarnation was received
 // before this one.
 func isOutOfOrder(old *table.Local, a table.Local) bool {
-	return old != nil && old.Incarnation == a.Incarnation && a.Sequence != 0 && a.Sequence <= old.Sequence
+	return old.Incarnation == a.Incarnation && a.Numbered() && a.Sequence <= old.Sequence
 }
 
 // removeDisplaced removes upstreams whose address was taken over by another process.
@@ -88,8 +90,8 @@
 	}
 }
 
-// departedRetention is how long late announcements of an upstream that has exited are
-// ignored. They are known to arrive seconds late.
+// departedRetention is how long late announcements of an upstream that has left or lapsed are
+// expected. They are known to arrive seconds late.
 const departedRetention = 2 * time.Minute
 
 // removeUpstream removes an upstream that is about to exit. A late report does not remove
@@ -116,6 +118,22 @@
 	w.Departed[name] = table.Departure{StartedMs: max(startedMs, w.Departed[name].StartedMs), Until: now.Add(departedRetention)}
 }
 
+// lapseLocal deletes the row of an upstream that no longer announces itself. What is known of it
+// outlives the row, as its announcements may still arrive. Only an upstream that was draining
+// counts as departed: another one may be missing for a while.
+func lapseLocal(w *table.World, now time.Time, row *table.Local, out *Outbox) {
+	switch {
+	case !row.Numbered():
+	case row.Draining:
+		recordDeparture(w, now, row.Name, row.StartedMs)
+	default:
+		lapsed := *row
+		lapsed.Until = now.Add(departedRetention)
+		w.Lapsed[row.ID] = &lapsed
+	}
+	removeLocal(w, row, "lapsed", out)
+}
+
 // removeLocal deletes the row of an upstream and publishes the change.
 func removeLocal(w *table.World, row *table.Local, reason string, out *Outbox) {
 	delete(w.Locals, row.ID)
@@ -146,13 +164,18 @@
 			delete(w.Departed, name)
 		}
 	}
+	for id, row := range w.Lapsed {
+		if now.After(row.Until) {
+			delete(w.Lapsed, id)
+		}
+	}
 	for _, id := range sortedKeys(w.Locals) {
 		row := w.Locals[id]
 		if now.Before(row.Until) {
 			updateRamp(w, now, row, out)
 			continue
 		}
-		removeLocal(w, row, "lapsed", out)
+		lapseLocal(w, now, row, out)
 	}
 }
 
--- a/internal/table/link.go
+++ b/internal/table/link.go
@@ -152,29 +152,3 @@
 	}
 	return b
 }
-
-// Local is an upstream on this daemon's VM.
-type Local struct {
-	wire.Upstream
-	// Process is the upstream's own identifier of its process, or empty.
-	Process string
-	// Name is the upstream's name on this VM. The ID identifies one incarnation of it, so
-	// that nothing recorded of an earlier incarnation is applied to this one.
-	Name string
-	// Incarnation identifies this incarnation of the upstream.
-	Incarnation string
-	// StartedMs is when this incarnation began, in Unix milliseconds by the upstream's own
-	// clock. Of two incarnations with the same name the later one is current. Zero if
-	// unknown.
-	StartedMs int64
-	// Addr is the address at which the upstream accepts calls.
-	Addr string
-	// Conns is the maximum number of connections to the upstream.
-	Conns int
-	// Sequence is the number of the last announcement; zero if they are not numbered.
-	Sequence uint64
-	// Ramped is set once the upstream has ramped up to all of its slots.
-	Ramped bool
-	// Until is when the upstream is removed unless it announces itself again.
-	Until time.Time
-}
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -125,6 +125,9 @@
 	Backoffs map[string]*Backoff
 	// Locals are the upstreams on this VM, by ID.
 	Locals map[string]*Local
+	// Lapsed holds the former rows of upstreams that no longer announced themselves, by ID.
+	// Local.Until is when the row is dropped here too.
+	Lapsed map[string]*Local
 	// Departed holds the upstreams on this VM that have stopped or were replaced at their
 	// address, by name.
 	Departed map[string]Departure
@@ -200,15 +203,6 @@
 	Timestamp freshness.Timestamp
 }
 
-// Departure records that an incarnation of an upstream has ended.
-type Departure struct {
-	// StartedMs is when that incarnation began. Announcements of it and of earlier ones are
-	// late and are ignored.
-	StartedMs int64
-	// Until is when late announcements are no longer expected.
-	Until time.Time
-}
-
 // Tree is this daemon's place in the distribution tree.
 type Tree struct {
 	// Parent is the ID of the member that sends the configuration to this daemon, or "".
@@ -367,6 +361,7 @@
 		Links:       map[LinkID]*Link{},
 		Backoffs:    map[string]*Backoff{},
 		Locals:      map[string]*Local{},
+		Lapsed:      map[string]*Local{},
 		Departed:    map[string]Departure{},
 		Config:      Config{State: config.Empty(), LastCheckpoint: now},
 		Outgoing:    Outgoing{Records: map[string]LinkID{}, Heartbeats: map[string]LinkID{}},
