A restarted daemon remembers which upstreams have left, or asks before it uses one

Cause: that an upstream has left was known to the memory of one daemon. After a restart, by a kill or by SIGTERM, a heartbeat from before that arrived late was an announcement like any other.

Change, in two parts. What was acknowledged is replicated: a daemon's record carries its departures, its peers keep them beyond its incarnation, and tell them to the next one when a connection is opened. And a daemon doubts what it cannot know: it remembers what it was told since its start, and an announcement from before may arrive for control.announcement_delay (10 s). Until then a numbered announcement of an unknown upstream makes it a candidate without calls, which needs two of three: a peer that was running all the time has reported its memory, the upstream's health check names it and is good, and it goes on announcing itself (three times over 1.5 s stand for two). Whatever a peer remembers as left stays out.

Why this works: the statement outlives the process that acknowledged it, and where nobody remembers, one late message is not enough. Upstreams without sequence numbers are not concerned. The health path is left out of a configuration's digest, so that builds without it agree on a version.

--- a/cmd/comfreyd/platform.go
+++ b/cmd/comfreyd/platform.go
@@ -15,13 +15,14 @@
 )
 
 // agentOptions returns the options of the agent. Where the platform runs the daemon, they
-// include the platform's headers and its source of configuration.
+// include the platform's headers, its health checks and its source of configuration.
 func agentOptions(s settings.Settings, log store.Log, logger zerolog.Logger) agent.Options {
 	opts := agent.Options{Log: log, Logger: logger, Dialect: callpath.DefaultDialect()}
 	if s.Platform.Enabled() {
 		opts.Dialect = platform.Dialect()
 		opts.Source = platform.NewSource(log, logger)
 		opts.StatusPublisher = platform.NewStatuses(log)
+		opts.HealthChecker = platform.CheckHealth
 	}
 	return opts
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,6 +61,9 @@
 	StatusPublisher StatusPublisher
 	// Dialect names the HTTP headers used with callers and upstreams.
 	Dialect callpath.Dialect
+	// HealthChecker checks the health of upstreams at the path that their service has in the
+	// configuration. If nil, health is not checked.
+	HealthChecker HealthChecker
 }
 
 // Agent is a running daemon.
@@ -95,6 +98,9 @@
 	stopping atomic.Bool
 	inputs   chan system.Input
 	commands commandTable
+	// healthChecker and healthClient make the health checks of upstreams.
+	healthChecker HealthChecker
+	healthClient  http.RoundTripper
 	// storeEpoch is the epoch of the store that was last passed to the loop.
 	storeEpoch atomic.Uint64
 	// readingConfig is set from the start of a read of the configuration until its result has
@@ -144,6 +150,8 @@
 		logger:          opts.Logger,
 		source:          opts.Source,
 		statusPublisher: opts.StatusPublisher,
+		healthChecker:   opts.HealthChecker,
+		healthClient:    newHealthClient(time.Duration(s.Calls.ConnectTimeout)),
 		metrics:         metrics.NewRegistry(),
 		clock:           event.NewClock(time.Now),
 		listeners:       ls,
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -153,6 +153,7 @@
 		a.transport.Dial(d)
 	}
 	a.commands.update(a.world.Config.State)
+	a.handleHealthChecks(out)
 	a.handleLogRequests(out)
 	a.handleQuarantineRequests(out)
 	a.handleRolloutRequests(out)
@@ -182,7 +183,7 @@
 		level = a.logger.Error()
 	case event.LogDown, event.StoreRestored, event.DocumentRefused, event.LinkLost, event.UpstreamRemoved, event.Quarantined, event.RolloutStopped, event.RolloutRefused, event.ConfigStale:
 		level = a.logger.Warn()
-	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining, event.AnnouncedLate,
+	case event.CommandAccepted, event.CommandRejected, event.Applied, event.LogUp, event.UpstreamUp, event.UpstreamDraining, event.AnnouncedLate, event.UpstreamPending,
 		event.Rollout, event.DocumentRead, event.MemberUp, event.MemberLapsed, event.ParentChanged, event.RootChanged, event.ConfigFresh:
 		level = a.logger.Info()
 	}
@@ -190,6 +191,16 @@
 		Uint64("version", e.Version).Str("request", e.Request).Msg(e.Detail)
 }
 
+// handleHealthChecks starts the health checks that a tick requested, in the background.
+func (a *Agent) handleHealthChecks(out system.Outbox) {
+	if a.healthChecker == nil {
+		return
+	}
+	for _, c := range out.HealthChecks {
+		go a.checkHealth(c)
+	}
+}
+
 // handleLogRequests starts the log operations that a tick requested, in the background.
 func (a *Agent) handleLogRequests(out system.Outbox) {
 	if out.ReadLog && a.source != nil {
--- a/internal/config/digest.go
+++ b/internal/config/digest.go
@@ -15,9 +15,13 @@
 // entityDigest returns the digest of one entity, without the fields that older builds do not
 // know.
 func entityDigest(kind Kind, name string, entity any) digest {
-	if p, ok := entity.(Policy); ok {
-		p.LargeAnswers = false
-		entity = p
+	switch e := entity.(type) {
+	case Policy:
+		e.LargeAnswers = false
+		entity = e
+	case Service:
+		e.HealthPath = ""
+		entity = e
 	}
 	b, err := json.Marshal(entity)
 	if err != nil {
--- a/internal/config/entity.go
+++ b/internal/config/entity.go
@@ -58,6 +58,10 @@
 	// Connections limits the connections to one upstream. Zero: the number that the
 	// upstream announces.
 	Connections int `json:"connections,omitempty"`
+	// HealthPath is the path at which upstreams answer health checks, or "" if they do not.
+	// It is not part of a state's digest: builds that do not know the field compute the same
+	// one. In a state that such a build has passed on it is missing until the next version.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // Policy sets the urgency, timeout, latency objective and retries of a route's calls.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,7 @@
 	UpstreamDraining Kind = "upstream-draining"
 	UpstreamRemoved  Kind = "upstream-gone"
 	AnnouncedLate    Kind = "announced-late"
+	UpstreamPending  Kind = "upstream-pending"
 	MemberUp         Kind = "member-up"
 	MemberLapsed     Kind = "member-lapsed"
 	CallRefused      Kind = "call-refused"
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -129,6 +129,7 @@
 		{"control.renew", c.Renew, 500 * time.Millisecond},
 		{"control.lapse", c.Lapse, 2*time.Duration(c.Renew) + 1},
 		{"control.upstream_lapse", c.UpstreamLapse, 100 * time.Millisecond},
+		{"control.announcement_delay", c.AnnouncementDelay, 0},
 		{"control.grace", c.Grace, 100 * time.Millisecond},
 		{"control.probe", c.Probe, time.Second},
 		{"calls.connect_timeout", l.ConnectTimeout, time.Millisecond},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -162,6 +162,11 @@
 	// UpstreamLapse is the time without an announcement after which an upstream is
 	// removed. Default: 3s.
 	UpstreamLapse Duration `yaml:"upstream_lapse"`
+	// AnnouncementDelay is the longest time by which an upstream's numbered announcement may
+	// be delayed. A daemon that has been running for less time uses an upstream only once
+	// others confirm that it has not left before the daemon was started. 0: none is delayed.
+	// Default: 10s.
+	AnnouncementDelay Duration `yaml:"announcement_delay"`
 	// Grace is how long a starting daemon waits for its first peer. Default: 3s.
 	Grace Duration `yaml:"grace"`
 	// Probe is the interval at which state is compared with a random daemon. Default: 60s.
@@ -264,7 +269,8 @@
 			Window: Duration(p.Window), Fanout: p.Fanout, Roots: p.Roots,
 			Heartbeat: Duration(p.Heartbeat), SilentAfter: Duration(p.SilentAfter),
 			Renew: Duration(p.Renew), Lapse: Duration(p.Lapse), UpstreamLapse: Duration(p.UpstreamLapse),
-			Grace: Duration(p.Grace), Probe: Duration(p.Probe), MaxLinks: p.MaxLinks,
+			AnnouncementDelay: Duration(p.AnnouncementDelay),
+			Grace:             Duration(p.Grace), Probe: Duration(p.Probe), MaxLinks: p.MaxLinks,
 			SnapshotsPerSecond: p.SnapshotsPerSecond,
 		},
 		Calls: Calls{
@@ -307,7 +313,7 @@
 		Window: time.Duration(c.Window), Fanout: c.Fanout, Roots: c.Roots,
 		Heartbeat: time.Duration(c.Heartbeat), SilentAfter: time.Duration(c.SilentAfter),
 		Renew: time.Duration(c.Renew), Lapse: time.Duration(c.Lapse),
-		UpstreamLapse: time.Duration(c.UpstreamLapse), Grace: time.Duration(c.Grace),
+		UpstreamLapse: time.Duration(c.UpstreamLapse), AnnouncementDelay: time.Duration(c.AnnouncementDelay), Grace: time.Duration(c.Grace),
 		MaxLinks: c.MaxLinks, SnapshotsPerSecond: c.SnapshotsPerSecond,
 		Probe: time.Duration(c.Probe), Checkpoint: time.Duration(s.Log.Retention) / checkpointsPerRetention,
 		Seeds: c.Peers, Domains: len(s.FailureDomains),
--- /dev/null
+++ b/internal/system/candidate.go
@@ -0,0 +1,141 @@
+package system
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/table"
+)
+
+// HealthCheck is a health check of a candidate.
+type HealthCheck struct {
+	ID   string
+	Addr string
+	Path string
+}
+
+// HealthChecked is the answer to a HealthCheck.
+type HealthChecked struct {
+	ID string
+	// Process is the process that has answered, or "" if it does not say.
+	Process string
+	// Healthy is set if it says that it is healthy and does not leave.
+	Healthy bool
+}
+
+const (
+	// requiredWitnesses is how many independent sources must agree that a candidate has not left. Each of
+	// them may be missing or wrong while a failure lasts.
+	requiredWitnesses = 2
+	// minAnnouncementGap is the shortest time between announcements that count as two:
+	// those that were held up together arrive together.
+	minAnnouncementGap = 400 * time.Millisecond
+	// An upstream that has announced itself steadyAnnouncements times over steadyTime counts as two
+	// witnesses: several delayed announcements are unlikely to arrive in such intervals.
+	steadyAnnouncements = 3
+	steadyTime          = 1500 * time.Millisecond
+	// healthCheckInterval is the interval of the health checks of a candidate.
+	healthCheckInterval = 500 * time.Millisecond
+)
+
+// receiveCandidate handles a ready announcement of an upstream without a row.
+func receiveCandidate(w *table.World, now time.Time, a table.Local, out *Outbox) {
+	c := w.Candidates[a.ID]
+	if c == nil {
+		c = &table.Candidate{FirstAt: now, NextCheck: now, Remembered: w.Lapsed[a.ID] != nil}
+		w.Candidates[a.ID] = c
+	}
+	c.Local, c.LastAt = a, now
+	c.Count++
+	if !admit(w, now, c, out) && c.Count == 1 {
+		out.event(event.Event{Kind: event.UpstreamPending, Service: a.Service, Peer: a.ID, Detail: describeAnnouncement(w, now, a)})
+	}
+}
+
+// runCandidates admits the candidates that have been confirmed and drops those that no longer
+// announce themselves.
+func runCandidates(w *table.World, now time.Time, out *Outbox) {
+	for _, id := range sortedKeys(w.Candidates) {
+		c := w.Candidates[id]
+		switch {
+		case !now.Before(c.Until):
+			dropCandidate(w, c, "not confirmed", out)
+		case !admit(w, now, c, out):
+			checkHealth(w, now, c, out)
+		}
+	}
+}
+
+// admit adds a row for the candidate if it has been confirmed, and reports whether it has.
+func admit(w *table.World, now time.Time, c *table.Candidate, out *Outbox) bool {
+	if !hasNotLeft(w, now, c) {
+		return false
+	}
+	detail := fmt.Sprintf("%s; %d announcements, healthy %t, peer's memory %t", describeAnnouncement(w, now, c.Local), c.Count, c.Healthy, peersRemember(w, now))
+	addLocal(w, now, c.Local, detail, out)
+	return true
+}
+
+// hasNotLeft reports whether the candidate is known not to have said that it leaves. This daemon
+// remembers what it was told since it was started. An announcement from before may arrive for
+// as long as Params.AnnouncementDelay; until then others have to confirm that the upstream did
+// not leave before.
+func hasNotLeft(w *table.World, now time.Time, c *table.Candidate) bool {
+	return c.Remembered || c.LastAt.Sub(w.Started) >= w.Params.AnnouncementDelay || witnesses(w, now, c) >= requiredWitnesses
+}
+
+// witnesses returns how many sources say that the candidate has not left.
+func witnesses(w *table.World, now time.Time, c *table.Candidate) int {
+	n := 0
+	if peersRemember(w, now) {
+		n++
+	}
+	if c.Healthy {
+		n++
+	}
+	announced := c.LastAt.Sub(c.FirstAt)
+	if c.Count >= 2 && announced >= minAnnouncementGap {
+		n++
+	}
+	if c.Count >= steadyAnnouncements && announced >= steadyTime {
+		n++
+	}
+	return n
+}
+
+// peersRemember reports whether a peer that has reported its memory of this daemon was running
+// when the oldest announcement that may arrive now was sent. Departures that it has reported are
+// in World.Departed.
+func peersRemember(w *table.World, now time.Time) bool {
+	return !w.OldestPeer.IsZero() && now.Sub(w.OldestPeer) >= w.Params.AnnouncementDelay
+}
+
+// checkHealth requests a health check of the candidate when one is due.
+func checkHealth(w *table.World, now time.Time, c *table.Candidate, out *Outbox) {
+	path := w.Config.State.Content.Services[c.Service].HealthPath
+	if path == "" || c.Healthy || now.Before(c.NextCheck) {
+		return
+	}
+	c.NextCheck = now.Add(healthCheckInterval)
+	out.HealthChecks = append(out.HealthChecks, HealthCheck{ID: c.ID, Addr: c.Addr, Path: path})
+}
+
+// receiveHealth handles the answer to a health check.
+func receiveHealth(w *table.World, h HealthChecked, out *Outbox) {
+	c := w.Candidates[h.ID]
+	switch {
+	case c == nil || h.Process == "":
+	case h.Process != c.Process:
+		dropCandidate(w, c, "process "+h.Process+" has answered at its address", out)
+	default:
+		c.Healthy = c.Healthy || h.Healthy
+	}
+}
+
+// dropCandidate ignores a candidate's announcements up to now.
+func dropCandidate(w *table.World, c *table.Candidate, reason string, out *Outbox) {
+	delete(w.Candidates, c.ID)
+	detail := fmt.Sprintf("%s: %d announcements, last sequence %d", reason, c.Count, c.Sequence)
+	out.event(event.Event{Kind: event.AnnouncedLate, Service: c.Service, Peer: c.ID, Detail: detail})
+}
--- a/internal/system/link.go
+++ b/internal/system/link.go
@@ -64,7 +64,7 @@
 func sendHello(w *table.World, now time.Time, l *table.Link, out *Outbox) {
 	hello := wire.Hello{
 		ID: w.Self.ID, Domain: w.Self.Domain, Incarnation: w.Self.Incarnation,
-		Probe: l.Probe, Suspects: suspectsHash(w), Rollouts: rolloutsHash(w), TakesConfirmations: true, Ping: nextPing(w, now, l),
+		Probe: l.Probe, Suspects: suspectsHash(w), Rollouts: rolloutsHash(w), TakesConfirmations: true, TakesDepartures: true, Ping: nextPing(w, now, l),
 	}
 	if m := w.Members[l.Peer]; m != nil {
 		hello.Floor = m.Floor
@@ -97,6 +97,8 @@
 	sendSuspects(w, l, h, out)
 	sendRollouts(w, now, l, h, out)
 	l.TakesConfirmations = h.TakesConfirmations
+	l.TakesDepartures = h.TakesDepartures
+	sendDepartures(w, now, l, out)
 	w.Config.Floor = max(w.Config.Floor, h.Floor)
 	receivePing(w, now, l, h.Ping, out)
 }
--- a/internal/system/member.go
+++ b/internal/system/member.go
@@ -51,6 +51,9 @@
 	case rec.Newer(row.Member):
 		restarted := rec.Incarnation != row.Incarnation
 		heartbeat := row.Heartbeat
+		if restarted {
+			keepDepartures(row, now)
+		}
 		row.Member = rec
 		row.RenewedAt = latestTime(row.RenewedAt, renewedAt)
 		if !restarted && heartbeat.Seq > rec.Heartbeat.Seq {
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -150,6 +150,8 @@
 	ReadRollouts    bool
 	CommitRollouts  []rollout.Record
 	PublishRollouts []rollout.Record
+	// HealthChecks are the health checks to make of upstreams on this VM.
+	HealthChecks []HealthCheck
 	// FreshAt is the last time at which the configuration held was known to be the newest,
 	// or zero if it never was.
 	FreshAt freshness.Timestamp
@@ -216,6 +218,8 @@
 		drainUpstream(w, v.ID, out)
 	case Removed:
 		removeUpstream(w, now, v, out)
+	case HealthChecked:
+		receiveHealth(w, v, out)
 	case StoreEpoch:
 		receiveStoreEpoch(w, now, v, out)
 	case SeedsFound:
@@ -284,6 +288,8 @@
 		receiveTally(w, l, m, out)
 	case wire.FreshnessConfirmation:
 		receiveConfirmation(w, l, m)
+	case wire.Departures:
+		receiveDepartures(w, now, l, m, out)
 	}
 }
 
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -14,25 +13,42 @@
 // receiveAnnouncement handles an upstream's announcement, either its first or a renewal.
 func receiveAnnouncement(w *table.World, now time.Time, a table.Local, out *Outbox) {
 	a.Until = now.Add(w.Params.UpstreamLapse)
-	old := w.Locals[a.ID]
 	if reason := lateAnnouncement(w, a); reason != "" {
 		out.event(event.Event{
 			Kind: event.AnnouncedLate, Service: a.Service, Peer: a.ID, Detail: reason + ": " + describeAnnouncement(w, now, a),
 		})
 		return
 	}
-	removeDisplaced(w, now, a, out)
-	if old == nil || old.Incarnation != a.Incarnation || old.Addr != a.Addr {
-		delete(w.Lapsed, a.ID)
-		a.AnnouncedAtMs = now.UnixMilli()
-		w.Locals[a.ID] = &a
-		out.event(event.Event{Kind: event.UpstreamUp, Service: a.Service, Peer: a.ID, Detail: describeAnnouncement(w, now, a)})
-		publishLocals(w)
-		return
+	old := w.Locals[a.ID]
+	known := old != nil && old.Incarnation == a.Incarnation
+	a.Draining = a.Draining || known && old.Draining
+	switch {
+	case known && old.Addr == a.Addr:
+		renewLocal(w, now, old, a, out)
+	case known || !a.Numbered():
+		addLocal(w, now, a, describeAnnouncement(w, now, a), out)
+	case a.Draining:
+		addLocal(w, now, a, describeAnnouncement(w, now, a), out)
+	default:
+		receiveCandidate(w, now, a, out)
 	}
+}
+
+// addLocal adds the row of an upstream, or replaces that of another incarnation or address.
+func addLocal(w *table.World, now time.Time, a table.Local, detail string, out *Outbox) {
+	removeDisplaced(w, now, a, out)
+	delete(w.Candidates, a.ID)
+	delete(w.Lapsed, a.ID)
+	a.AnnouncedAtMs = now.UnixMilli()
+	w.Locals[a.ID] = &a
+	out.event(event.Event{Kind: event.UpstreamUp, Service: a.Service, Peer: a.ID, Detail: detail})
+	publishLocals(w)
+}
+
+// renewLocal renews a row after an announcement of the same incarnation.
+func renewLocal(w *table.World, now time.Time, old *table.Local, a table.Local, out *Outbox) {
 	a.AnnouncedAtMs = old.AnnouncedAtMs
 	a.Ramped = old.Ramped
-	a.Draining = a.Draining || old.Draining
 	changed := a.Upstream != old.Upstream || a.Conns != old.Conns
 	if a.Draining && !old.Draining {
 		out.event(event.Event{Kind: event.UpstreamDraining, Service: a.Service, Peer: a.ID, Detail: describeAnnouncement(w, now, a)})
@@ -55,7 +71,7 @@
 
 // lateAnnouncement returns why an announcement is known to be late, or "".
 func lateAnnouncement(w *table.World, a table.Local) string {
-	if d, ok := w.Departed[a.Name]; ok && a.StartedMs <= d.StartedMs {
+	if d, ok := w.Departed[a.Name]; ok && a.StartedMs <= d.StartedMs && (a.Numbered() || !d.FromPeer) {
 		return "its incarnation has left"
 	}
 	for _, rows := range []map[string]*table.Local{w.Locals, w.Lapsed} {
@@ -68,6 +84,9 @@
 			return fmt.Sprintf("sequence %d was received before", row.Sequence)
 		}
 	}
+	if c := w.Candidates[a.ID]; c != nil && isOutOfOrder(&c.Local, a) {
+		return fmt.Sprintf("sequence %d was received before", c.Sequence)
+	}
 	return ""
 }
 
@@ -90,34 +109,6 @@
 	}
 }
 
-// departedRetention is how long late announcements of an upstream that has left or lapsed are
-// expected. They are known to arrive seconds late.
-const departedRetention = 2 * time.Minute
-
-// removeUpstream removes an upstream that is about to exit. A late report does not remove
-// a later incarnation of the same name.
-func removeUpstream(w *table.World, now time.Time, r Removed, out *Outbox) {
-	startedMs := r.StartedMs
-	for _, id := range sortedKeys(w.Locals) {
-		row := w.Locals[id]
-		if row.Name != r.Name || r.StartedMs != 0 && row.StartedMs > r.StartedMs {
-			continue
-		}
-		startedMs = max(startedMs, row.StartedMs)
-		removeLocal(w, row, "deregistered", out)
-	}
-	if _, known := w.Departed[r.Name]; startedMs == 0 && !known {
-		startedMs = math.MaxInt64 // incarnation unknown: ignore announcements of any
-	}
-	recordDeparture(w, now, r.Name, startedMs)
-}
-
-// recordDeparture records that an incarnation has exited, so that its late announcements
-// do not register it again.
-func recordDeparture(w *table.World, now time.Time, name string, startedMs int64) {
-	w.Departed[name] = table.Departure{StartedMs: max(startedMs, w.Departed[name].StartedMs), Until: now.Add(departedRetention)}
-}
-
 // lapseLocal deletes the row of an upstream that no longer announces itself. What is known of it
 // outlives the row, as its announcements may still arrive. Only an upstream that was draining
 // counts as departed: another one may be missing for a while.
@@ -156,19 +147,10 @@
 	publishLocals(w)
 }
 
-// runUpstreams marks the upstreams whose ramp is over and removes those that no longer
-// announce themselves.
+// runUpstreams marks the upstreams whose ramp is over, removes those that no longer announce
+// themselves, and admits the candidates that have been confirmed.
 func runUpstreams(w *table.World, now time.Time, out *Outbox) {
-	for name, d := range w.Departed {
-		if now.After(d.Until) {
-			delete(w.Departed, name)
-		}
-	}
-	for id, row := range w.Lapsed {
-		if now.After(row.Until) {
-			delete(w.Lapsed, id)
-		}
-	}
+	expireDepartures(w, now)
 	for _, id := range sortedKeys(w.Locals) {
 		row := w.Locals[id]
 		if now.Before(row.Until) {
@@ -177,6 +159,7 @@
 		}
 		lapseLocal(w, now, row, out)
 	}
+	runCandidates(w, now, out)
 }
 
 func updateRamp(w *table.World, now time.Time, row *table.Local, out *Outbox) {
@@ -188,15 +171,18 @@
 	out.event(event.Event{Kind: event.UpstreamRamped, Service: row.Service, Peer: row.ID})
 }
 
+// publishLocals publishes the upstreams on this VM, and those that have left, in this daemon's
+// record.
 func publishLocals(w *table.World) {
 	ups := make([]wire.Upstream, 0, len(w.Locals))
 	for _, id := range sortedKeys(w.Locals) {
 		ups = append(ups, w.Locals[id].Upstream)
 	}
-	if slices.Equal(ups, w.Self.Upstreams) {
+	departures := ownDepartures(w)
+	if slices.Equal(ups, w.Self.Upstreams) && slices.Equal(departures, w.Self.Departures) {
 		w.ViewDirty = true
 		return
 	}
-	w.Self.Upstreams = ups
+	w.Self.Upstreams, w.Self.Departures = ups, departures
 	touchSelf(w)
 }
--- a/internal/table/link.go
+++ b/internal/table/link.go
@@ -53,6 +53,8 @@
 	TakesRollouts bool
 	// TakesConfirmations is set if the peer accepts confirmations of freshness.
 	TakesConfirmations bool
+	// TakesDepartures is set if the peer accepts Departures messages.
+	TakesDepartures bool
 	// Pings holds the send times of the last pings.
 	Pings freshness.SendTimes
 	// Confirmation is the peer's last confirmation of the freshness of its configuration.
--- a/internal/table/member.go
+++ b/internal/table/member.go
@@ -24,6 +24,15 @@
 	// Floor is the highest version that the member has reported as applied, over all of
 	// its incarnations.
 	Floor uint64
+	// PastDepartures are the departures in the records of the member's earlier incarnations.
+	PastDepartures []PastDeparture
+}
+
+// PastDeparture is a departure that a member's earlier incarnation knew of.
+type PastDeparture struct {
+	wire.Departure
+	// Until is when late announcements of the upstream are no longer expected.
+	Until time.Time
 }
 
 // bucketCount is the number of buckets into which members are hashed; a full comparison
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -43,4 +43,26 @@
 	StartedMs int64
 	// Until is when late announcements are no longer expected.
 	Until time.Time
+	// FromPeer is set if an earlier incarnation of this daemon was told, and a peer remembers
+	// it.
+	FromPeer bool
+}
+
+// Candidate is an upstream that has announced itself and gets no calls yet: an announcement of
+// one that is gone may have been delayed.
+type Candidate struct {
+	// Local is the row as of the last announcement.
+	Local
+	// FirstAt and LastAt are when the first and the last announcement were received, Count is
+	// their number.
+	FirstAt time.Time
+	LastAt  time.Time
+	Count   int
+	// Remembered is set if this daemon had a row of the same incarnation before.
+	Remembered bool
+	// Healthy is set once the process at its address has answered a health check as this
+	// upstream, and as healthy.
+	Healthy bool
+	// NextCheck is when its health is checked next.
+	NextCheck time.Time
 }
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -34,6 +34,9 @@
 	Lapse time.Duration
 	// UpstreamLapse is how long an upstream is kept without an announcement.
 	UpstreamLapse time.Duration
+	// AnnouncementDelay is the longest time by which a numbered announcement of an upstream
+	// may be delayed.
+	AnnouncementDelay time.Duration
 	// Grace is how long a starting daemon waits for its first peer.
 	Grace time.Duration
 	// MaxLinks is the number of connections, opened or accepted, from which on further
@@ -81,6 +84,7 @@
 		Renew:              60 * time.Second,
 		Lapse:              180 * time.Second,
 		UpstreamLapse:      3 * time.Second,
+		AnnouncementDelay:  10 * time.Second,
 		Grace:              3 * time.Second,
 		MaxLinks:           64,
 		SnapshotsPerSecond: 20,
@@ -125,16 +129,22 @@
 	Backoffs map[string]*Backoff
 	// Locals are the upstreams on this VM, by ID.
 	Locals map[string]*Local
+	// Candidates are the upstreams on this VM that have announced themselves and get no calls
+	// yet, by ID.
+	Candidates map[string]*Candidate
 	// Lapsed holds the former rows of upstreams that no longer announced themselves, by ID.
 	// Local.Until is when the row is dropped here too.
 	Lapsed map[string]*Local
-	// Departed holds the upstreams on this VM that have stopped or were replaced at their
-	// address, by name.
+	// Departed holds the upstreams on this VM that have said that they leave, or were
+	// replaced at their address, by name.
 	Departed map[string]Departure
-	Config   Config
-	Log      Log
-	Outgoing Outgoing
-	Alarms   map[string]string
+	// OldestPeer is when the peer that had been running for longest when it last reported its
+	// memory of this daemon was started; zero: none has reported.
+	OldestPeer time.Time
+	Config     Config
+	Log        Log
+	Outgoing   Outgoing
+	Alarms     map[string]string
 	// Suspects is shared with the call path, which records crashes and answers in it.
 	Suspects   *suspect.Table
 	Quarantine Quarantine
@@ -361,6 +371,7 @@
 		Links:       map[LinkID]*Link{},
 		Backoffs:    map[string]*Backoff{},
 		Locals:      map[string]*Local{},
+		Candidates:  map[string]*Candidate{},
 		Lapsed:      map[string]*Local{},
 		Departed:    map[string]Departure{},
 		Config:      Config{State: config.Empty(), LastCheckpoint: now},
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -39,6 +39,8 @@
 		return decodeAs[Tally](body)
 	case MethodFreshnessConfirmation:
 		return decodeAs[FreshnessConfirmation](body)
+	case MethodDepartures:
+		return decodeAs[Departures](body)
 	}
 	return nil, errors.Errorf("control message of unknown method %q", method)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -27,6 +27,15 @@
 	ProcessIncarnation string `json:"life,omitempty"`
 }
 
+// Departure names an incarnation of an upstream that has said that it leaves.
+type Departure struct {
+	// Name is the upstream's name on its VM.
+	Name string `json:"name"`
+	// StartedMs is when the incarnation started, in Unix milliseconds of the upstream's clock.
+	// Earlier ones of the name have left too. Zero: no start is known of any of them.
+	StartedMs int64 `json:"started,omitempty"`
+}
+
 // Member is a daemon's record of itself. Only that daemon writes it; of two
 // copies the one with the higher (Incarnation, Seq) is newer.
 type Member struct {
@@ -47,7 +56,10 @@
 	Seq         uint64     `json:"seq"`
 	Leaving     bool       `json:"leaving,omitempty"`
 	Upstreams   []Upstream `json:"upstreams,omitempty"`
-	Heartbeat   Heartbeat  `json:"beat"`
+	// Departures are the upstreams on the VM that have said lately that they leave. The other
+	// daemons remember them for the daemon's next incarnation.
+	Departures []Departure `json:"departures,omitempty"`
+	Heartbeat  Heartbeat   `json:"beat"`
 	// AgeMs is how long ago the sender last heard from the member. It keeps a
 	// forwarded copy from looking fresh.
 	AgeMs int64 `json:"age,omitempty"`
@@ -94,7 +106,18 @@
 	Rollouts string `json:"rollouts,omitempty"`
 	// TakesConfirmations is set if the sender accepts FreshnessConfirmation messages.
 	TakesConfirmations bool `json:"vouches,omitempty"`
-	Ping               Ping `json:"ping"`
+	// TakesDepartures is set if the sender accepts Departures messages.
+	TakesDepartures bool `json:"departures,omitempty"`
+	Ping            Ping `json:"ping"`
+}
+
+// Departures tells a daemon which upstreams on its VM have left, as far as the sender remembers.
+// It is sent when a connection has been opened: the receiver may have been restarted.
+type Departures struct {
+	// UpMs is how long the sender has been running, in milliseconds. It knows of no departure
+	// from before.
+	UpMs int64       `json:"up"`
+	List []Departure `json:"list,omitempty"`
 }
 
 // Ping is the heartbeat of a connection. It identifies the configuration and the
@@ -251,6 +274,7 @@
 	MethodRollouts              = "rollouts"
 	MethodTally                 = "tally"
 	MethodFreshnessConfirmation = "vouch"
+	MethodDepartures            = "departures"
 )
 
 // Method implements Message.
@@ -303,3 +327,6 @@
 	Clock int64           `json:"clock"`
 	Body  json.RawMessage `json:"body"`
 }
+
+// Method implements Message.
+func (Departures) Method() string { return MethodDepartures }
