A late announcement of a dead upstream no longer shuts out the live one at its address

Cause: an announcement with another ID at a known address was always taken for that of the later process, and the row before it was recorded as departed, though it had not said that it leaves. A daemon that was restarted, or whose row had lapsed, cannot know which of the two came first.

Change: while a ready upstream holds an address, another one there is a candidate. A row that is displaced is kept like a lapsed one, not as departed: only an upstream's own word ends it.

Why this works: the process at the address is asked, and nobody is shut out by an inference.

--- a/internal/system/candidate.go
+++ b/internal/system/candidate.go
@@ -45,6 +45,9 @@
 	if c == nil {
 		c = &table.Candidate{FirstAt: now, NextCheck: now, Remembered: w.Lapsed[a.ID] != nil}
 		w.Candidates[a.ID] = c
+		if r := rival(w, a); r != nil {
+			c.Rival, c.RivalSequence = r.ID, r.Sequence
+		}
 	}
 	c.Local, c.LastAt = a, now
 	c.Count++
@@ -69,7 +72,7 @@
 
 // admit adds a row for the candidate if it has been confirmed, and reports whether it has.
 func admit(w *table.World, now time.Time, c *table.Candidate, out *Outbox) bool {
-	if !hasNotLeft(w, now, c) {
+	if !hasNotLeft(w, now, c) || !ownsAddress(w, c) {
 		return false
 	}
 	detail := fmt.Sprintf("%s; %d announcements, healthy %t, peer's memory %t", describeAnnouncement(w, now, c.Local), c.Count, c.Healthy, peersRemember(w, now))
@@ -111,6 +114,28 @@
 	return !w.OldestPeer.IsZero() && now.Sub(w.OldestPeer) >= w.Params.AnnouncementDelay
 }
 
+// ownsAddress reports whether the candidate is the process at its address. If another upstream
+// holds the address, either of the two may be the one that is gone.
+func ownsAddress(w *table.World, c *table.Candidate) bool {
+	r := rival(w, c.Local)
+	if r == nil || c.Answered {
+		return true
+	}
+	return r.ID == c.Rival && r.Sequence == c.RivalSequence && c.LastAt.Sub(c.FirstAt) >= steadyTime
+}
+
+// rival returns the upstream that holds the address of a, or nil. One that is draining does not hold
+// it, nor does an earlier incarnation of a.
+func rival(w *table.World, a table.Local) *table.Local {
+	for _, id := range sortedKeys(w.Locals) {
+		row := w.Locals[id]
+		if id != a.ID && row.Addr == a.Addr && !row.Draining && (row.Name != a.Name || row.StartedMs >= a.StartedMs) {
+			return row
+		}
+	}
+	return nil
+}
+
 // checkHealth requests a health check of the candidate when one is due.
 func checkHealth(w *table.World, now time.Time, c *table.Candidate, out *Outbox) {
 	path := w.Config.State.Content.Services[c.Service].HealthPath
@@ -129,6 +154,7 @@
 	case h.Process != c.Process:
 		dropCandidate(w, c, "process "+h.Process+" has answered at its address", out)
 	default:
+		c.Answered = true
 		c.Healthy = c.Healthy || h.Healthy
 	}
 }
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -27,6 +27,10 @@
 		renewLocal(w, now, old, a, out)
 	case known || !a.Numbered():
 		addLocal(w, now, a, describeAnnouncement(w, now, a), out)
+	case a.Draining && rival(w, a) != nil:
+		// It may be the last word of a process that is gone, whose address has another one.
+		recordDeparture(w, now, a.Name, a.StartedMs)
+		publishLocals(w)
 	case a.Draining:
 		addLocal(w, now, a, describeAnnouncement(w, now, a), out)
 	default:
@@ -103,16 +107,15 @@
 	}
 	for _, id := range sortedKeys(w.Locals) {
 		if row := w.Locals[id]; id != a.ID && row.Addr == a.Addr {
-			recordDeparture(w, now, row.Name, row.StartedMs)
-			removeLocal(w, row, "displaced at its address by "+a.ID, out)
+			retireLocal(w, now, row, "displaced at its address by "+a.ID, out)
 		}
 	}
 }
 
-// lapseLocal deletes the row of an upstream that no longer announces itself. What is known of it
-// outlives the row, as its announcements may still arrive. Only an upstream that was draining
-// counts as departed: another one may be missing for a while.
-func lapseLocal(w *table.World, now time.Time, row *table.Local, out *Outbox) {
+// retireLocal deletes the row of an upstream that did not say that it is about to exit. What is
+// known of it outlives the row, as its announcements may still arrive. Only an upstream that was
+// draining counts as departed: another one may be missing for a while.
+func retireLocal(w *table.World, now time.Time, row *table.Local, reason string, out *Outbox) {
 	switch {
 	case !row.Numbered():
 	case row.Draining:
@@ -122,7 +125,7 @@
 		lapsed.Until = now.Add(departedRetention)
 		w.Lapsed[row.ID] = &lapsed
 	}
-	removeLocal(w, row, "lapsed", out)
+	removeLocal(w, row, reason, out)
 }
 
 // removeLocal deletes the row of an upstream and publishes the change.
@@ -157,7 +160,7 @@
 			updateRamp(w, now, row, out)
 			continue
 		}
-		lapseLocal(w, now, row, out)
+		retireLocal(w, now, row, "lapsed", out)
 	}
 	runCandidates(w, now, out)
 }
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -60,9 +60,14 @@
 	Count   int
 	// Remembered is set if this daemon had a row of the same incarnation before.
 	Remembered bool
-	// Healthy is set once the process at its address has answered a health check as this
-	// upstream, and as healthy.
-	Healthy bool
+	// Answered is set once the process at its address has answered a health check as this
+	// upstream, Healthy once it has also said that it is healthy.
+	Answered bool
+	Healthy  bool
 	// NextCheck is when its health is checked next.
 	NextCheck time.Time
+	// Rival is the ID of the upstream that holds its address, or "", and RivalSequence that
+	// upstream's last sequence number when the candidate was first announced.
+	Rival         string
+	RivalSequence uint64
 }
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -132,11 +132,10 @@
 	// Candidates are the upstreams on this VM that have announced themselves and get no calls
 	// yet, by ID.
 	Candidates map[string]*Candidate
-	// Lapsed holds the former rows of upstreams that no longer announced themselves, by ID.
-	// Local.Until is when the row is dropped here too.
+	// Lapsed holds the former rows of upstreams that no longer announced themselves, or were
+	// displaced at their address, by ID. Local.Until is when the row is dropped here too.
 	Lapsed map[string]*Local
-	// Departed holds the upstreams on this VM that have said that they leave, or were
-	// replaced at their address, by name.
+	// Departed holds the upstreams on this VM that have said that they leave, by name.
 	Departed map[string]Departure
 	// OldestPeer is when the peer that had been running for longest when it last reported its
 	// memory of this daemon was started; zero: none has reported.
