The leaving of an upstream is acknowledged once it outlives the daemon

An upstream relied on an acknowledgement that nothing stood behind: a daemon that had been stopped answered 200 to a heartbeat or DELETE that it had not applied, and one that ended within a gossip window of its answer took the knowledge with it, so that its next incarnation, and callers, used the upstream again.

Cause: Announce and Remove took no notice of Inspect returning false, and answered as soon as the daemon's own tables had changed.

Change: they return an error unless the change is in force. If the upstream leaves, they wait until a peer has confirmed that it holds the record with the departure (departures-held), for 0.8 s at the most: an upstream waits a second. Without that the answer is 503 and the upstream asks again; the daemon sends it no calls meanwhile. A daemon that knows no other one, or is connected only to builds that can't confirm, answers as before.

--- a/cmd/comfreyd/devfleet.go
+++ b/cmd/comfreyd/devfleet.go
@@ -66,7 +66,8 @@
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
-		a.Announce(agent.Announcement{
+		// An error can be ignored: the daemon has been stopped, or the next announcement follows.
+		_ = a.Announce(agent.Announcement{
 			ID: u.ID, Service: u.Service, Version: u.Version, Addr: u.Addr(), Slots: devSlots, Connections: devConnections,
 		})
 		select {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -101,6 +101,9 @@
 	// healthChecker and healthClient make the health checks of upstreams.
 	healthChecker HealthChecker
 	healthClient  http.RoundTripper
+	// departureWaiters wait until other daemons know of departures. Only the goroutine of the
+	// loop accesses them.
+	departureWaiters []departureWaiter
 	// storeEpoch is the epoch of the store that was last passed to the loop.
 	storeEpoch atomic.Uint64
 	// readingConfig is set from the start of a read of the configuration until its result has
--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -112,16 +112,22 @@
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	a.Announce(n)
+	if err := a.Announce(n); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	renew := time.Duration(a.settings.Control.UpstreamLapse) / renewalsPerLapse
 	// An error can be ignored: an upstream that has disconnected does not need the answer.
 	_ = json.NewEncoder(w).Encode(AnnouncementReply{RenewMs: renew.Milliseconds()})
 }
 
-// Announce registers an upstream or renews its registration. When it returns, the view in
-// force contains the upstream.
-func (a *Agent) Announce(n Announcement) {
+// Announce registers an upstream or renews its registration. It returns an error if the
+// announcement is not in force. When it returns nil, the view in force contains the upstream;
+// if the announcement is numbered and may be a late one from before the start of this daemon, the upstream gets calls
+// only once others have confirmed it. If the upstream is draining, it gets no new calls, and
+// another daemon remembers that for the next incarnation of this one.
+func (a *Agent) Announce(n Announcement) error {
 	name := a.upstreamName(n.ID)
 	up := wire.Upstream{ID: incarnationID(name, n.StartedMs), Service: n.Service, Version: n.Version, Slots: n.Slots, Draining: n.Draining}
 	if n.Incarnation != n.ID {
@@ -131,24 +137,31 @@
 		Upstream: up,
 		Name:     name, Incarnation: n.Incarnation, StartedMs: n.StartedMs, Addr: n.Addr, Conns: n.Connections, Process: n.Process, Sequence: n.Sequence,
 	}})
-	a.Inspect(noop)
+	if n.Draining {
+		return a.awaitDeparture()
+	}
+	return a.awaitApplied()
 }
 
-// Deregister deregisters an upstream. When it returns, the upstream gets no new calls.
-func (a *Agent) Deregister(id string) {
+// Deregister deregisters an upstream. When it returns nil, the upstream gets no new calls.
+func (a *Agent) Deregister(id string) error {
 	a.input(system.Deregistered{ID: a.upstreamName(id)})
-	a.Inspect(noop)
+	return a.awaitApplied()
 }
 
-// Remove deregisters an upstream whose process is about to exit. When it returns, the upstream
-// gets no new calls, and a delayed announcement does not register it again. startedMs is the
-// start of the incarnation that exits, in Unix milliseconds, or zero for the registered one.
-func (a *Agent) Remove(id string, startedMs int64) {
+// Remove deregisters an upstream whose process is about to exit. When it returns nil, the upstream
+// gets no new calls, a delayed announcement does not register it again, and another daemon
+// remembers that for the next incarnation of this one. startedMs is the start of the incarnation
+// that exits, in Unix milliseconds, or zero for the registered one.
+func (a *Agent) Remove(id string, startedMs int64) error {
 	a.input(system.Removed{Name: a.upstreamName(id), StartedMs: startedMs})
-	a.Inspect(noop)
+	return a.awaitDeparture()
 }
 
 func (a *Agent) serveDeregister(w http.ResponseWriter, r *http.Request) {
-	a.Deregister(r.PathValue("id"))
+	if err := a.Deregister(r.PathValue("id")); err != nil {
+		http.Error(w, "deregister: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -153,6 +153,7 @@
 		a.transport.Dial(d)
 	}
 	a.commands.update(a.world.Config.State)
+	a.notifyDepartureWaiters()
 	a.handleHealthChecks(out)
 	a.handleLogRequests(out)
 	a.handleQuarantineRequests(out)
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/comfreygate/comfreygate/internal/system"
+	"github.com/comfreygate/comfreygate/internal/table"
 )
 
 // Health is an upstream's answer to a health check.
@@ -48,3 +51,71 @@
 	}
 	a.input(system.HealthChecked{ID: c.ID, Process: h.Process, Healthy: h.Healthy})
 }
+
+// Errors of announcements and removals that are not in force, or would not survive this daemon.
+var (
+	errStopped       = errors.New("the daemon has stopped")
+	errNotReplicated = errors.New("no other daemon has confirmed that it knows that the upstream leaves")
+)
+
+// departureTimeout is how long an upstream that leaves waits for another daemon to know of it. Upstreams
+// wait a second for the answer.
+const departureTimeout = 800 * time.Millisecond
+
+// departureWaiter waits until another daemon holds this daemon's record as of a revision.
+type departureWaiter struct {
+	seq   uint64
+	until time.Time
+	held  chan struct{}
+}
+
+// awaitApplied waits until the inputs queued so far are in force.
+func (a *Agent) awaitApplied() error {
+	if !a.Inspect(noop) {
+		return errStopped
+	}
+	return nil
+}
+
+// awaitDeparture waits until a departure that was queued before is in force and survives this
+// daemon. Otherwise the daemon could promise that the upstream gets no more calls, restart, and
+// know nothing of it.
+func (a *Agent) awaitDeparture() error {
+	waiter := departureWaiter{until: time.Now().Add(departureTimeout), held: make(chan struct{})}
+	applied := a.Inspect(func(w *table.World) {
+		waiter.seq = w.Self.Seq
+		a.departureWaiters = append(a.departureWaiters, waiter)
+		a.notifyDepartureWaiters()
+	})
+	if !applied {
+		return errStopped
+	}
+	timer := time.NewTimer(departureTimeout)
+	defer timer.Stop()
+	select {
+	case <-waiter.held:
+		return nil
+	case <-timer.C:
+		return errNotReplicated
+	case <-a.ctx.Done():
+		return errStopped
+	}
+}
+
+// notifyDepartureWaiters releases the waiters whose departures another daemon holds, and drops
+// those that no longer wait. Only the goroutine of the loop calls it.
+func (a *Agent) notifyDepartureWaiters() {
+	if len(a.departureWaiters) == 0 {
+		return
+	}
+	var waiting []departureWaiter
+	for _, d := range a.departureWaiters {
+		switch {
+		case system.DeparturesHeld(a.world, d.seq):
+			close(d.held)
+		case time.Now().Before(d.until):
+			waiting = append(waiting, d)
+		}
+	}
+	a.departureWaiters = waiting
+}
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -86,6 +86,45 @@
 	return list
 }
 
+// DeparturesHeld reports whether a departure that this daemon's record contains since revision
+// seq survives this daemon: another daemon holds the record. It also does so if there is no other daemon,
+// or if all connected ones are of builds that do not remember departures.
+func DeparturesHeld(w *table.World, seq uint64) bool {
+	if w.DeparturesHeld >= seq {
+		return true
+	}
+	connected, takes := false, false
+	for _, l := range w.Links {
+		connected = connected || l.Up()
+		takes = takes || l.Up() && l.TakesDepartures
+	}
+	if connected {
+		return !takes
+	}
+	for _, m := range w.Members {
+		if !m.Lapsed {
+			return false
+		}
+	}
+	return true
+}
+
+// acknowledgeRecord tells the sender of a record of its own that this daemon holds it, if it
+// contains departures.
+func acknowledgeRecord(w *table.World, from table.LinkID, rec wire.Member, out *Outbox) {
+	l, row := w.Links[from], w.Members[rec.ID]
+	if l == nil || l.Peer != rec.ID || !l.TakesDepartures || len(rec.Departures) == 0 || row == nil || rec.Newer(row.Member) {
+		return
+	}
+	out.send(from, wire.DeparturesHeld{Incarnation: rec.Incarnation, Seq: rec.Seq})
+}
+
+func receiveDeparturesHeld(w *table.World, m wire.DeparturesHeld) {
+	if m.Incarnation == w.Self.Incarnation {
+		w.DeparturesHeld = max(w.DeparturesHeld, m.Seq)
+	}
+}
+
 // keepDepartures keeps the departures of a member whose next incarnation has started. The new one
 // does not know of them.
 func keepDepartures(row *table.Member, now time.Time) {
--- a/internal/system/member.go
+++ b/internal/system/member.go
@@ -29,6 +29,7 @@
 func mergeMembers(w *table.World, now time.Time, from table.LinkID, m wire.Members, out *Outbox) {
 	for _, rec := range m.Records {
 		mergeMember(w, now, from, rec, out)
+		acknowledgeRecord(w, from, rec, out)
 	}
 	for _, heartbeat := range m.Heartbeats {
 		mergeHeartbeat(w, now, from, heartbeat)
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -290,6 +290,8 @@
 		receiveConfirmation(w, l, m)
 	case wire.Departures:
 		receiveDepartures(w, now, l, m, out)
+	case wire.DeparturesHeld:
+		receiveDeparturesHeld(w, m)
 	}
 }
 
--- a/internal/table/link.go
+++ b/internal/table/link.go
@@ -53,7 +53,7 @@
 	TakesRollouts bool
 	// TakesConfirmations is set if the peer accepts confirmations of freshness.
 	TakesConfirmations bool
-	// TakesDepartures is set if the peer accepts Departures messages.
+	// TakesDepartures is set if the peer accepts Departures and DeparturesHeld messages.
 	TakesDepartures bool
 	// Pings holds the send times of the last pings.
 	Pings freshness.SendTimes
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -137,6 +137,9 @@
 	Lapsed map[string]*Local
 	// Departed holds the upstreams on this VM that have said that they leave, by name.
 	Departed map[string]Departure
+	// DeparturesHeld is the highest revision of this daemon's record that another daemon holds
+	// and that contains departures.
+	DeparturesHeld uint64
 	// OldestPeer is when the peer that had been running for longest when it last reported its
 	// memory of this daemon was started; zero: none has reported.
 	OldestPeer time.Time
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -41,6 +41,8 @@
 		return decodeAs[FreshnessConfirmation](body)
 	case MethodDepartures:
 		return decodeAs[Departures](body)
+	case MethodDeparturesHeld:
+		return decodeAs[DeparturesHeld](body)
 	}
 	return nil, errors.Errorf("control message of unknown method %q", method)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -106,7 +106,7 @@
 	Rollouts string `json:"rollouts,omitempty"`
 	// TakesConfirmations is set if the sender accepts FreshnessConfirmation messages.
 	TakesConfirmations bool `json:"vouches,omitempty"`
-	// TakesDepartures is set if the sender accepts Departures messages.
+	// TakesDepartures is set if the sender accepts Departures and DeparturesHeld messages.
 	TakesDepartures bool `json:"departures,omitempty"`
 	Ping            Ping `json:"ping"`
 }
@@ -120,6 +120,13 @@
 	List []Departure `json:"list,omitempty"`
 }
 
+// DeparturesHeld acknowledges a record with departures that its owner has sent.
+type DeparturesHeld struct {
+	// Incarnation and Seq identify the revision of the receiver's record.
+	Incarnation uint64 `json:"inc"`
+	Seq         uint64 `json:"seq"`
+}
+
 // Ping is the heartbeat of a connection. It identifies the configuration and the
 // members that the sender holds.
 type Ping struct {
@@ -275,6 +282,7 @@
 	MethodTally                 = "tally"
 	MethodFreshnessConfirmation = "vouch"
 	MethodDepartures            = "departures"
+	MethodDeparturesHeld        = "departures-held"
 )
 
 // Method implements Message.
@@ -330,3 +338,6 @@
 
 // Method implements Message.
 func (Departures) Method() string { return MethodDepartures }
+
+// Method implements Message.
+func (DeparturesHeld) Method() string { return MethodDeparturesHeld }
