--- a/internal/system/candidate.go
+++ b/internal/system/candidate.go
@@ -32,7 +32,8 @@
 	// those that were held up together arrive together.
 	minAnnouncementGap = 400 * time.Millisecond
 	// An upstream that has announced itself steadyAnnouncements times over steadyTime counts as two
-	// witnesses: several delayed announcements are unlikely to arrive in such intervals.
+	// witnesses, unless it says that it is not healthy: several delayed announcements are unlikely to arrive in such
+	// intervals.
 	steadyAnnouncements = 3
 	steadyTime          = 1500 * time.Millisecond
 	// healthCheckInterval is the interval of the health checks of a candidate.
@@ -101,7 +102,7 @@
 	if c.Count >= 2 && announced >= minAnnouncementGap {
 		n++
 	}
-	if c.Count >= steadyAnnouncements && announced >= steadyTime {
+	if c.Count >= steadyAnnouncements && announced >= steadyTime && (c.Healthy || !c.Answered) {
 		n++
 	}
 	return n
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -22,10 +22,9 @@
 	covers := func(l table.Local) bool {
 		return l.Name == r.Name && (r.StartedMs == 0 || l.StartedMs <= r.StartedMs)
 	}
-	for _, id := range sortedKeys(w.Candidates) {
-		if c := w.Candidates[id]; covers(c.Local) {
+	for _, c := range w.Candidates {
+		if covers(c.Local) {
 			startedMs = max(startedMs, c.StartedMs)
-			delete(w.Candidates, id)
 		}
 	}
 	for _, id := range sortedKeys(w.Locals) {
@@ -45,6 +44,11 @@
 // register it again. The caller publishes the change.
 func recordDeparture(w *table.World, now time.Time, name string, startedMs int64) {
 	w.Departed[name] = table.Departure{StartedMs: max(startedMs, w.Departed[name].StartedMs), Until: now.Add(departedRetention)}
+	for id, c := range w.Candidates {
+		if c.Name == name && c.StartedMs <= startedMs {
+			delete(w.Candidates, id)
+		}
+	}
 }
 
 // expireDepartures forgets what late announcements are no longer expected of.
--- a/internal/system/testnet_converge_test.go
+++ b/internal/system/testnet_converge_test.go
@@ -18,7 +18,12 @@
 	if err != nil {
 		n.fatalf("%s: %v", text, err)
 	}
-	data, err := config.Record{Command: &config.Command{ID: id, Changes: st.Changes, IfVersion: st.IfVersion}}.Encode()
+	n.appendCommand(config.Command{ID: id, Changes: st.Changes, IfVersion: st.IfVersion})
+}
+
+// appendCommand appends a command to the log.
+func (n *testNet) appendCommand(c config.Command) {
+	data, err := config.Record{Command: &c}.Encode()
 	if err != nil {
 		n.fatalf("%v", err)
 	}
--- a/internal/system/testnet_test.go
+++ b/internal/system/testnet_test.go
@@ -72,6 +72,8 @@
 	// sentBytes, if set, counts the bytes of the messages on suspects and rollouts that
 	// each daemon sent, by daemon ID.
 	sentBytes map[string]int
+	// checkHealth, if set, answers the health checks of a daemon; false: there is no answer.
+	checkHealth func(*testNode, HealthCheck) (HealthChecked, bool)
 	// crossDomain, if set, counts the messages on connections between failure domains, by method.
 	crossDomain map[string]messageCost
 }
@@ -291,6 +293,19 @@
 	}
 	n.serveQuarantine(node, out)
 	n.serveRollouts(node, out)
+	n.serveHealthChecks(node, out)
+}
+
+// serveHealthChecks answers the health checks that a tick has requested.
+func (n *testNet) serveHealthChecks(node *testNode, out Outbox) {
+	if n.checkHealth == nil {
+		return
+	}
+	for _, c := range out.HealthChecks {
+		if answer, ok := n.checkHealth(node, c); ok {
+			node.inputs = append(node.inputs, answer)
+		}
+	}
 }
 
 func (n *testNet) send(node *testNode, s Send) {
