The store remembers departures too, for a restart of all daemons

After a restart of all daemons no upstream got calls for some 2 s: with nobody who could remember, a candidate waited for its second heartbeat.

Change: a daemon writes its departures to a keyed topic of the store when they change, and deletes the record once all are forgotten. A daemon with a candidate, and without a peer that remembers, reads the topic once; what is there is believed, and that nothing is there is one of four sources of which two must agree. The acknowledgement of a leaving waits for a peer or the store, whichever holds it first. The departures that are remembered are bounded.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -104,6 +104,8 @@
 	// departureWaiters wait until other daemons know of departures. Only the goroutine of the
 	// loop accesses them.
 	departureWaiters []departureWaiter
+	// departuresToStore is the record that is being written to the store, or nil.
+	departuresToStore atomic.Pointer[system.DepartureRecord]
 	// storeEpoch is the epoch of the store that was last passed to the loop.
 	storeEpoch atomic.Uint64
 	// readingConfig is set from the start of a read of the configuration until its result has
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -155,6 +155,7 @@
 	a.commands.update(a.world.Config.State)
 	a.notifyDepartureWaiters()
 	a.handleHealthChecks(out)
+	a.handleDepartureRequests(out)
 	a.handleLogRequests(out)
 	a.handleQuarantineRequests(out)
 	a.handleRolloutRequests(out)
--- a/internal/system/candidate.go
+++ b/internal/system/candidate.go
@@ -67,6 +67,7 @@
 			dropCandidate(w, c, "not confirmed", out)
 		case !admit(w, now, c, out):
 			checkHealth(w, now, c, out)
+			readStoredDepartures(w, now, c, out)
 		}
 	}
 }
@@ -76,7 +77,8 @@
 	if !hasNotLeft(w, now, c) || !ownsAddress(w, c) {
 		return false
 	}
-	detail := fmt.Sprintf("%s; %d announcements, healthy %t, peer's memory %t", describeAnnouncement(w, now, c.Local), c.Count, c.Healthy, peersRemember(w, now))
+	detail := fmt.Sprintf("%s; %d announcements, healthy %t, memory of peers %t, of the store %t",
+		describeAnnouncement(w, now, c.Local), c.Count, c.Healthy, peersRemember(w, now), w.Memory.StoreRead)
 	addLocal(w, now, c.Local, detail, out)
 	return true
 }
@@ -95,6 +97,9 @@
 	if peersRemember(w, now) {
 		n++
 	}
+	if w.Memory.StoreRead {
+		n++
+	}
 	if c.Healthy {
 		n++
 	}
@@ -112,7 +117,7 @@
 // when the oldest announcement that may arrive now was sent. Departures that it has reported are
 // in World.Departed.
 func peersRemember(w *table.World, now time.Time) bool {
-	return !w.OldestPeer.IsZero() && now.Sub(w.OldestPeer) >= w.Params.AnnouncementDelay
+	return !w.Memory.OldestPeer.IsZero() && now.Sub(w.Memory.OldestPeer) >= w.Params.AnnouncementDelay
 }
 
 // ownsAddress reports whether the candidate is the process at its address. If another upstream
@@ -139,7 +144,7 @@
 
 // checkHealth requests a health check of the candidate when one is due.
 func checkHealth(w *table.World, now time.Time, c *table.Candidate, out *Outbox) {
-	path := w.Config.State.Content.Services[c.Service].HealthPath
+	path := healthPath(w, c)
 	if path == "" || c.Healthy || now.Before(c.NextCheck) {
 		return
 	}
@@ -147,6 +152,11 @@
 	out.HealthChecks = append(out.HealthChecks, HealthCheck{ID: c.ID, Addr: c.Addr, Path: path})
 }
 
+// healthPath returns the path of the candidate's health checks, or "" if it answers none.
+func healthPath(w *table.World, c *table.Candidate) string {
+	return w.Config.State.Content.Services[c.Service].HealthPath
+}
+
 // receiveHealth handles the answer to a health check.
 func receiveHealth(w *table.World, h HealthChecked, out *Outbox) {
 	c := w.Candidates[h.ID]
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -40,6 +40,10 @@
 	publishLocals(w)
 }
 
+// maxDepartures bounds the departures that are remembered, and so the size of this daemon's
+// record. A VM has one upstream or a few.
+const maxDepartures = 256
+
 // recordDeparture records that an incarnation has left, so that its late announcements do not
 // register it again. The caller publishes the change.
 func recordDeparture(w *table.World, now time.Time, name string, startedMs int64) {
@@ -49,6 +53,10 @@
 			delete(w.Candidates, id)
 		}
 	}
+	for len(w.Departed) > maxDepartures {
+		oldest := slices.MinFunc(sortedKeys(w.Departed), func(a, b string) int { return w.Departed[a].Until.Compare(w.Departed[b].Until) })
+		delete(w.Departed, oldest)
+	}
 }
 
 // expireDepartures forgets what late announcements are no longer expected of.
@@ -78,7 +86,7 @@
 		started[name] = d.StartedMs
 	}
 	for _, row := range w.Locals {
-		if row.Draining {
+		if row.Draining && row.Numbered() {
 			started[row.Name] = max(started[row.Name], row.StartedMs)
 		}
 	}
@@ -91,10 +99,10 @@
 }
 
 // DeparturesHeld reports whether a departure that this daemon's record contains since revision
-// seq survives this daemon: another daemon holds the record. It also does so if there is no other daemon,
-// or if all connected ones are of builds that do not remember departures.
+// seq survives this daemon: another daemon or the store holds it. It also does so if there is no
+// other daemon, or if all connected ones are of builds that do not remember departures.
 func DeparturesHeld(w *table.World, seq uint64) bool {
-	if w.DeparturesHeld >= seq {
+	if w.Memory.Held >= seq {
 		return true
 	}
 	connected, takes := false, false
@@ -125,7 +133,7 @@
 
 func receiveDeparturesHeld(w *table.World, m wire.DeparturesHeld) {
 	if m.Incarnation == w.Self.Incarnation {
-		w.DeparturesHeld = max(w.DeparturesHeld, m.Seq)
+		w.Memory.Held = max(w.Memory.Held, m.Seq)
 	}
 }
 
@@ -158,22 +166,27 @@
 
 // receiveDepartures takes over what a peer remembers of this daemon's earlier incarnations.
 func receiveDepartures(w *table.World, now time.Time, l *table.Link, m wire.Departures, out *Outbox) {
-	if started := now.Add(-time.Duration(m.UpMs) * time.Millisecond); w.OldestPeer.IsZero() || started.Before(w.OldestPeer) {
-		w.OldestPeer = started
+	if started := now.Add(-time.Duration(m.UpMs) * time.Millisecond); w.Memory.OldestPeer.IsZero() || started.Before(w.Memory.OldestPeer) {
+		w.Memory.OldestPeer = started
 	}
-	for _, d := range m.List {
+	recallDepartures(w, now, m.List, l.Peer, out)
+}
+
+// recallDepartures takes over departures from the memory of a peer or the store.
+func recallDepartures(w *table.World, now time.Time, list []wire.Departure, from string, out *Outbox) {
+	for _, d := range list {
 		if known, ok := w.Departed[d.Name]; ok && known.StartedMs >= d.StartedMs {
 			continue
 		}
-		w.Departed[d.Name] = table.Departure{StartedMs: d.StartedMs, Until: now.Add(departedRetention), FromPeer: true}
-		endDeparted(w, d, l.Peer, out)
+		w.Departed[d.Name] = table.Departure{StartedMs: d.StartedMs, Until: now.Add(departedRetention), Recalled: true}
+		endDeparted(w, d, from, out)
 		publishLocals(w)
 	}
 }
 
-// endDeparted sends no more calls to an upstream that has left according to a peer.
-func endDeparted(w *table.World, d wire.Departure, peer string, out *Outbox) {
-	detail := "it left before this daemon was started, says " + peer
+// endDeparted sends no more calls to an upstream that has left according to from.
+func endDeparted(w *table.World, d wire.Departure, from string, out *Outbox) {
+	detail := "it left before this daemon was started, says " + from
 	for _, id := range sortedKeys(w.Candidates) {
 		if c := w.Candidates[id]; c.Name == d.Name && c.StartedMs <= d.StartedMs {
 			delete(w.Candidates, id)
--- /dev/null
+++ b/internal/system/departurestore.go
@@ -0,0 +1,68 @@
+package system
+
+import (
+	"slices"
+	"time"
+
+	"github.com/comfreygate/comfreygate/internal/table"
+	"github.com/comfreygate/comfreygate/internal/wire"
+)
+
+// DepartureRecord is the store's record of the departures on this daemon's VM. It is of use once
+// this daemon and those that remember for it have restarted together.
+type DepartureRecord struct {
+	// Seq is the revision of the daemon's own record that has the same departures.
+	Seq uint64
+	// List is empty if the record is to be deleted.
+	List []wire.Departure
+}
+
+// DeparturesStored reports that the store holds a DepartureRecord.
+type DeparturesStored struct{ Seq uint64 }
+
+// DeparturesRead is the result of a read of the store's record.
+type DeparturesRead struct {
+	// List is empty if the store has no record of this daemon's VM.
+	List []wire.Departure
+	// Failed is set if the store did not return it.
+	Failed bool
+}
+
+// departureReadInterval is the interval of reads of the store's record until one succeeds.
+const departureReadInterval = time.Second
+
+// outdatesStore reports whether the store's record must be replaced. One that lists departures
+// which are no longer remembered does no harm until the last of them is forgotten.
+func outdatesStore(before, after []wire.Departure) bool {
+	if len(after) == 0 {
+		return len(before) > 0
+	}
+	return slices.ContainsFunc(after, func(d wire.Departure) bool { return !slices.Contains(before, d) })
+}
+
+// storeDepartures has the store remember the departures on this VM.
+func storeDepartures(w *table.World, out *Outbox) {
+	if w.Memory.Unstored {
+		w.Memory.Unstored = false
+		out.StoreDepartures = &DepartureRecord{Seq: w.Self.Seq, List: w.Self.Departures}
+	}
+}
+
+// readStoredDepartures asks the store if the candidate waits for a confirmation that the store
+// can give. Peers and a health check cost nothing at the store.
+func readStoredDepartures(w *table.World, now time.Time, c *table.Candidate, out *Outbox) {
+	enough := peersRemember(w, now) && healthPath(w, c) != ""
+	if w.Memory.StoreRead || enough || hasNotLeft(w, now, c) || now.Before(w.Memory.NextRead) {
+		return
+	}
+	w.Memory.NextRead = now.Add(departureReadInterval)
+	out.ReadDepartures = true
+}
+
+func receiveStoredDepartures(w *table.World, now time.Time, r DeparturesRead, out *Outbox) {
+	if r.Failed {
+		return
+	}
+	w.Memory.StoreRead = true
+	recallDepartures(w, now, r.List, "the store", out)
+}
--- a/internal/system/leavinghistory_test.go
+++ b/internal/system/leavinghistory_test.go
@@ -23,6 +23,10 @@
 	healthLies falseWitness = "health lies"
 	// healthMissing: health checks get no answer.
 	healthMissing falseWitness = "health missing"
+	// storeDown: the store is out of reach of the upstream's daemon.
+	storeDown falseWitness = "store down"
+	// storeForgets: the store has come back from a copy from before each departure.
+	storeForgets falseWitness = "store forgets"
 	// manyLate: up to three announcements of an upstream are late, not one.
 	manyLate falseWitness = "many late"
 )
@@ -237,6 +241,9 @@
 			h.left = append(h.left, u)
 		}
 	}
+	if h.false == storeForgets {
+		clear(h.n.departureStore)
+	}
 	for _, l := range h.left {
 		if l.served() {
 			h.t.Fatalf("%s gets calls after its leaving was acknowledged (false: %s)", l.id, h.false)
@@ -254,8 +261,9 @@
 		n := newTestNet(rt.Fatalf, 3, 1)
 		n.checkFloor = false // all daemons may restart at once
 		h := &leavingHistory{t: rt, n: n, node: n.nodes[1], backAt: map[*testNode]time.Time{}}
-		h.false = rapid.SampledFrom([]falseWitness{noneFalse, peersCutOff, healthLies, healthMissing, manyLate}).Draw(rt, "false")
+		h.false = rapid.SampledFrom([]falseWitness{noneFalse, peersCutOff, healthLies, healthMissing, storeDown, storeForgets, manyLate}).Draw(rt, "false")
 		n.checkHealth = h.health
+		n.storeUnreachable[h.node.domain] = h.false == storeDown
 		n.adjustParams = func(p *table.Params) { p.UpstreamLapse = numberedLapse }
 		for _, node := range n.nodes {
 			n.start(node)
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -152,6 +152,10 @@
 	PublishRollouts []rollout.Record
 	// HealthChecks are the health checks to make of upstreams on this VM.
 	HealthChecks []HealthCheck
+	// ReadDepartures requests a read of the store's record of the departures on this VM,
+	// StoreDepartures, if not nil, that it is written or deleted.
+	ReadDepartures  bool
+	StoreDepartures *DepartureRecord
 	// FreshAt is the last time at which the configuration held was known to be the newest,
 	// or zero if it never was.
 	FreshAt freshness.Timestamp
@@ -220,6 +224,10 @@
 		removeUpstream(w, now, v, out)
 	case HealthChecked:
 		receiveHealth(w, v, out)
+	case DeparturesRead:
+		receiveStoredDepartures(w, now, v, out)
+	case DeparturesStored:
+		w.Memory.Held = max(w.Memory.Held, v.Seq)
 	case StoreEpoch:
 		receiveStoreEpoch(w, now, v, out)
 	case SeedsFound:
--- a/internal/system/testnet_test.go
+++ b/internal/system/testnet_test.go
@@ -74,6 +74,8 @@
 	sentBytes map[string]int
 	// checkHealth, if set, answers the health checks of a daemon; false: there is no answer.
 	checkHealth func(*testNode, HealthCheck) (HealthChecked, bool)
+	// departureStore holds the store's records of departures, by daemon ID.
+	departureStore map[string][]wire.Departure
 	// crossDomain, if set, counts the messages on connections between failure domains, by method.
 	crossDomain map[string]messageCost
 }
@@ -146,7 +148,7 @@
 	n := &testNet{
 		fatalf: fatalf, now: time.Unix(1_700_000_000, 0), log: devlog.New(),
 		partitions: map[string]bool{}, storeUnreachable: map[string]bool{}, hashAt: map[string]string{}, checkFloor: true,
-		quarantineStore: map[suspect.Digest][]byte{},
+		quarantineStore: map[suspect.Digest][]byte{}, departureStore: map[string][]wire.Departure{},
 	}
 	for d := range domains {
 		for i := range perDomain {
@@ -294,6 +296,23 @@
 	n.serveQuarantine(node, out)
 	n.serveRollouts(node, out)
 	n.serveHealthChecks(node, out)
+	n.serveDepartures(node, out)
+}
+
+// serveDepartures carries out the requests of a tick to the store's records of departures.
+func (n *testNet) serveDepartures(node *testNode, out Outbox) {
+	reachable := !n.storeUnreachable[node.domain]
+	if r := out.StoreDepartures; r != nil && reachable {
+		n.departureStore[node.id] = r.List
+		node.inputs = append(node.inputs, DeparturesStored{Seq: r.Seq})
+	}
+	if out.ReadDepartures {
+		read := DeparturesRead{Failed: !reachable}
+		if reachable {
+			read.List = n.departureStore[node.id]
+		}
+		node.inputs = append(node.inputs, read)
+	}
 }
 
 // serveHealthChecks answers the health checks that a tick has requested.
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -75,7 +75,7 @@
 
 // lateAnnouncement returns why an announcement is known to be late, or "".
 func lateAnnouncement(w *table.World, a table.Local) string {
-	if d, ok := w.Departed[a.Name]; ok && a.StartedMs <= d.StartedMs && (a.Numbered() || !d.FromPeer) {
+	if d, ok := w.Departed[a.Name]; ok && a.StartedMs <= d.StartedMs && (a.Numbered() || !d.Recalled) {
 		return "its incarnation has left"
 	}
 	for _, rows := range []map[string]*table.Local{w.Locals, w.Lapsed} {
@@ -151,7 +151,7 @@
 }
 
 // runUpstreams marks the upstreams whose ramp is over, removes those that no longer announce
-// themselves, and admits the candidates that have been confirmed.
+// themselves, admits the candidates that have been confirmed, and has the store remember departures.
 func runUpstreams(w *table.World, now time.Time, out *Outbox) {
 	expireDepartures(w, now)
 	for _, id := range sortedKeys(w.Locals) {
@@ -163,6 +163,7 @@
 		retireLocal(w, now, row, "lapsed", out)
 	}
 	runCandidates(w, now, out)
+	storeDepartures(w, out)
 }
 
 func updateRamp(w *table.World, now time.Time, row *table.Local, out *Outbox) {
@@ -186,6 +187,7 @@
 		w.ViewDirty = true
 		return
 	}
+	w.Memory.Unstored = w.Memory.Unstored || outdatesStore(w.Self.Departures, departures)
 	w.Self.Upstreams, w.Self.Departures = ups, departures
 	touchSelf(w)
 }
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -43,9 +43,26 @@
 	StartedMs int64
 	// Until is when late announcements are no longer expected.
 	Until time.Time
-	// FromPeer is set if an earlier incarnation of this daemon was told, and a peer remembers
-	// it.
-	FromPeer bool
+	// Recalled is set if an earlier incarnation of this daemon was told, and a peer or the
+	// store remembers it.
+	Recalled bool
+}
+
+// DepartureMemory is who else remembers the departures on this daemon's VM, for the time after a
+// restart.
+type DepartureMemory struct {
+	// Held is the highest revision of this daemon's record that contains departures and that
+	// another daemon or the store holds.
+	Held uint64
+	// Unstored is set if the store is to be told of a change.
+	Unstored bool
+	// OldestPeer is when the peer that had been running for longest when it last reported its
+	// memory of this daemon was started; zero: none has reported.
+	OldestPeer time.Time
+	// StoreRead is set once the store has returned what it remembers, since the start of this
+	// daemon. NextRead is when it is asked next.
+	StoreRead bool
+	NextRead  time.Time
 }
 
 // Candidate is an upstream that has announced itself and gets no calls yet: an announcement of
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -137,16 +137,12 @@
 	Lapsed map[string]*Local
 	// Departed holds the upstreams on this VM that have said that they leave, by name.
 	Departed map[string]Departure
-	// DeparturesHeld is the highest revision of this daemon's record that another daemon holds
-	// and that contains departures.
-	DeparturesHeld uint64
-	// OldestPeer is when the peer that had been running for longest when it last reported its
-	// memory of this daemon was started; zero: none has reported.
-	OldestPeer time.Time
-	Config     Config
-	Log        Log
-	Outgoing   Outgoing
-	Alarms     map[string]string
+	// Memory is who else remembers the departures on this VM.
+	Memory   DepartureMemory
+	Config   Config
+	Log      Log
+	Outgoing Outgoing
+	Alarms   map[string]string
 	// Suspects is shared with the call path, which records crashes and answers in it.
 	Suspects   *suspect.Table
 	Quarantine Quarantine
