--- /dev/null
+++ b/internal/system/candidate_test.go
@@ -0,0 +1,150 @@
+package system
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreygate/comfreygate/internal/table"
+	"github.com/comfreygate/comfreygate/internal/wire"
+)
+
+// source is something that can confirm that an upstream has not left.
+type source func(tick func(after time.Duration, in ...Input))
+
+// sources are all of them. An announcement has been received before.
+var sources = map[string]source{
+	"peer": func(tick func(time.Duration, ...Input)) { tick(0, peerRemembers()) },
+	"health": func(tick func(time.Duration, ...Input)) {
+		tick(0, HealthChecked{ID: "vm/up", Process: "up", Healthy: true})
+	},
+	"store": func(tick func(time.Duration, ...Input)) { tick(0, DeparturesRead{}) },
+	"second announcement": func(tick func(time.Duration, ...Input)) {
+		tick(minAnnouncementGap, numbered(2))
+	},
+}
+
+// peerRemembers is the report of a peer that has been running for long.
+func peerRemembers(left ...wire.Departure) Input {
+	return Received{Link: 1, Message: wire.Departures{UpMs: time.Minute.Milliseconds(), List: left}}
+}
+
+// numbered returns a ready announcement of the upstream vm/up.
+func numbered(sequence uint64) Announced {
+	return Announced{Local: table.Local{
+		Upstream: wire.Upstream{ID: "vm/up", Service: "s", Slots: 4},
+		Name:     "vm/up", Incarnation: "up", Process: "up", Addr: "10.0.0.1:80", Sequence: sequence,
+	}}
+}
+
+// restartedWorld returns the tables of a daemon that has just started, has a connection to a peer
+// and has received one announcement, and a function that runs its ticks.
+func restartedWorld() (*table.World, func(after time.Duration, in ...Input)) {
+	w := documentWorld()
+	now := w.Started.Add(100 * time.Millisecond)
+	tick := func(after time.Duration, in ...Input) {
+		now = now.Add(after)
+		Tick(w, now, in)
+	}
+	w.Links[1] = &table.Link{ID: 1, Peer: "p", Domain: "d", TakesDepartures: true, Opened: now, HeardAt: now, EchoAt: now}
+	tick(0, numbered(1))
+	return w, tick
+}
+
+// TestRestartedDaemonUsesAnUpstreamOnceTwoSourcesAgree guards against a restarted daemon that uses
+// an upstream because of one source, which may be wrong, and against one that goes without its upstream
+// although two agree.
+func TestRestartedDaemonUsesAnUpstreamOnceTwoSourcesAgree(t *testing.T) {
+	for first, confirm := range sources {
+		t.Run(first, func(t *testing.T) {
+			is := is.New(t)
+			w, tick := restartedWorld()
+			is.Equal(len(w.Locals), 0) // one announcement is none
+			confirm(tick)
+			is.Equal(len(w.Locals), 0) // one source does not suffice
+		})
+		for second, agree := range sources {
+			if first == second {
+				continue
+			}
+			t.Run(first+" and "+second, func(t *testing.T) {
+				is := is.New(t)
+				w, tick := restartedWorld()
+				confirm(tick)
+				agree(tick)
+				is.Equal(len(w.Locals), 1)
+			})
+		}
+	}
+}
+
+// TestDepartureThatIsRememberedOutweighsAllElse guards against calls to an upstream that has left:
+// a peer or the store remembers that, and all other sources are false, before and after.
+func TestDepartureThatIsRememberedOutweighsAllElse(t *testing.T) {
+	left := wire.Departure{Name: "vm/up"}
+	for name, remembered := range map[string]Input{"peer": peerRemembers(left), "store": DeparturesRead{List: []wire.Departure{left}}} {
+		for _, lies := range []string{"before", "after"} {
+			t.Run(name+" "+lies, func(t *testing.T) {
+				is := is.New(t)
+				w, tick := restartedWorld()
+				if lies == "after" {
+					tick(0, remembered)
+				}
+				for _, confirm := range sources {
+					confirm(tick)
+				}
+				tick(0, remembered)
+				tick(numberedInterval, numbered(9))
+				for _, row := range w.Locals {
+					is.True(row.Draining)
+				}
+				is.Equal(len(w.Candidates), 0)
+				is.Equal(w.Self.Departures, []wire.Departure{left}) // and it is told on
+			})
+		}
+	}
+}
+
+// TestUnhealthyUpstreamNeedsMoreThanItsAnnouncements guards against an upstream that says in its
+// health checks that it leaves, and of which several announcements are late.
+func TestUnhealthyUpstreamNeedsMoreThanItsAnnouncements(t *testing.T) {
+	is := is.New(t)
+	w, tick := restartedWorld()
+	tick(0, HealthChecked{ID: "vm/up", Process: "up"})
+	for sequence := uint64(2); sequence < 6; sequence++ {
+		tick(numberedInterval, numbered(sequence))
+	}
+	is.Equal(len(w.Locals), 0)
+	tick(w.Params.AnnouncementDelay, numbered(6)) // sent after the start
+	is.Equal(len(w.Locals), 1)
+}
+
+// TestDepartureIsHeldWhereItCanBe guards against upstreams whose leaving is never acknowledged, since no
+// other daemon can hold it: there is none, or all are of a build that does not know departures.
+func TestDepartureIsHeldWhereItCanBe(t *testing.T) {
+	is := is.New(t)
+	w, _ := restartedWorld()
+	is.True(!DeparturesHeld(w, 7))
+	w.Links[1].TakesDepartures = false
+	is.True(DeparturesHeld(w, 7))
+	delete(w.Links, 1)
+	is.True(DeparturesHeld(w, 7)) // alone
+	w.Members["p"] = &table.Member{Member: wire.Member{ID: "p"}}
+	is.True(!DeparturesHeld(w, 7)) // cut off
+	Tick(w, w.Started.Add(time.Second), []Input{DeparturesStored{Seq: 7}})
+	is.True(DeparturesHeld(w, 7)) // the store holds it
+}
+
+// TestDeparturesAreBounded guards against a daemon whose record grows with each DELETE that somebody
+// on its VM sends, whatever it names.
+func TestDeparturesAreBounded(t *testing.T) {
+	is := is.New(t)
+	w, tick := restartedWorld()
+	for i := range 2 * maxDepartures {
+		tick(time.Millisecond, Removed{Name: fmt.Sprintf("vm/%d", i)})
+	}
+	is.Equal(len(w.Self.Departures), maxDepartures)
+	is.True(w.Departed[fmt.Sprintf("vm/%d", 2*maxDepartures-1)] != table.Departure{}) // the last one is kept
+}
