A soak of leaving upstreams on the platform's interfaces, with real processes

No test of ours played the platform's heartbeats over processes, late ones or a restart between an acknowledgement and a heartbeat. The soak starts daemons as the platform does, with upstreams that leave by DELETE or by heartbeat, crash and follow each other at an address, while their daemons are killed, stopped, frozen, alone and all at once; each upstream that leaves or crashes has one heartbeat held up for up to 9 s, and in a third of the seeds health checks are false. Callers use kept connections.

--- a/itest/harness/calls.go
+++ b/itest/harness/calls.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -81,3 +82,21 @@
 		Header: res.Header, Body: string(b), Close: res.Close, Err: err,
 	}
 }
+
+// SendTo sends a GET request with the headers of the platform's callers to the VM's daemon, and
+// reads the response. Whether it is answered is up to the caller's own records.
+func (v *VM) SendTo(ctx context.Context, client *http.Client, host, path, id string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+*v.callersAddr.Load()+path, nil)
+	if err != nil {
+		return
+	}
+	req.Host = host
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", "2500")
+	res, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer res.Body.Close()
+	io.Copy(io.Discard, res.Body)
+}
--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -63,6 +64,24 @@
 	local        *fault.Proxy
 	proc         *process
 	incarnations int
+	// Platform holds the addresses of the interfaces to the platform, if it runs the daemon.
+	Platform PlatformAddresses
+}
+
+// PlatformAddresses are the addresses that the settings of a daemon on the platform name. Unlike
+// its own, they stay the same when it restarts.
+type PlatformAddresses struct {
+	Upstream, Ready, Heartbeats, Metrics string
+	// Service is the service of the upstream.
+	Service string
+}
+
+// settings returns the lines of a daemon's settings, or none without the platform.
+func (p PlatformAddresses) settings() string {
+	if p.Service == "" {
+		return ""
+	}
+	return fmt.Sprintf("platform: {upstream: %q, service: %q, ready: %q, heartbeats: %q, metrics: %q}\n", p.Upstream, p.Service, p.Ready, p.Heartbeats, p.Metrics)
 }
 
 // Upstream is an upstream process.
@@ -77,12 +96,19 @@
 	lastIP = 1
 )
 
+// firstNetwork and networks bound the second byte of the loopback addresses. Test processes that run
+// at the same time mostly have different ones.
+const (
+	firstNetwork = 77
+	networks     = 150
+)
+
 // newIP returns a loopback address that no other VM of this test process uses.
 func newIP() string {
 	ipMu.Lock()
 	defer ipMu.Unlock()
 	lastIP++
-	return fmt.Sprintf("127.77.%d.%d", lastIP/250, 1+lastIP%250)
+	return fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networks, lastIP/250, 1+lastIP%250)
 }
 
 // New returns a cluster with a running log and no VMs.
@@ -147,12 +173,39 @@
 func (c *Cluster) AddVM(name, domain string) *VM {
 	c.T.Helper()
 	ip := newIP()
+	vm := c.newVM(name, domain, ip)
+	vm.Start()
+	return vm
+}
+
+// AddPlatformVM is AddVM with a daemon that runs on the platform, beside an upstream of a service.
+func (c *Cluster) AddPlatformVM(name, domain, service string) *VM {
+	c.T.Helper()
+	vm := c.newVM(name, domain, newIP())
+	vm.Platform = PlatformAddresses{Service: service}
+	for _, addr := range []*string{&vm.Platform.Upstream, &vm.Platform.Ready, &vm.Platform.Heartbeats, &vm.Platform.Metrics} {
+		*addr = c.freeAddr(vm.IP)
+	}
+	vm.Start()
+	return vm
+}
+
+func (c *Cluster) newVM(name, domain, ip string) *VM {
 	vm := &VM{c: c, Name: name, Domain: domain, IP: ip, Peers: c.proxy(ip), Owner: c.proxy(ip), local: c.proxy("127.0.0.1")}
 	c.VMs = append(c.VMs, vm)
-	vm.Start()
 	return vm
 }
 
+// freeAddr returns an address that is free now. Only this VM uses its IP address.
+func (c *Cluster) freeAddr(ip string) string {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 // Start starts the VM's daemon, for the first time or after it was stopped.
 func (v *VM) Start() {
 	c := v.c
@@ -162,7 +215,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", other.Peers.Addr()))
 	}
 	text := fmt.Sprintf(settingsFormat, v.Name, v.Domain, v.IP, v.Peers.Addr(), v.Owner.Addr(),
-		c.LogProxy.Addr(), strings.Join(seeds, ", "), c.Settings, cmp.Or(c.Probe, "1s"), c.LinkMbps)
+		c.LogProxy.Addr(), strings.Join(seeds, ", "), v.Platform.settings()+c.Settings, cmp.Or(c.Probe, "1s"), c.LinkMbps)
 	file := c.path(v.Name + ".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		c.T.Fatal(err)
--- /dev/null
+++ b/itest/leaving/leaving_test.go
@@ -0,0 +1,300 @@
+// Package leaving plays upstreams that leave, on the platform's interfaces: daemons run as real
+// processes and are killed, stopped and frozen meanwhile, and heartbeats arrive late. A seed
+// determines what happens when.
+package leaving
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/comfreygate/comfreygate/itest/harness"
+	"github.com/comfreygate/comfreygate/platform/store"
+)
+
+var (
+	seed  = flag.Uint64("seed", 0, "play this seed alone")
+	seeds = flag.Int("seeds", 0, "play so many fresh seeds")
+	vms   = flag.Int("vms", 6, "daemons in each")
+)
+
+// ciSeeds are the seeds that CI runs.
+var ciSeeds = []uint64{1, 2}
+
+const (
+	// length is how long upstreams leave and daemons restart.
+	length = 15 * time.Second
+	// drainTime is how long after the acknowledgement of its leaving requests may still reach an
+	// upstream.
+	drainTime = 2 * time.Second
+	// maxLateness is the longest delay of a heartbeat.
+	maxLateness = 9 * time.Second
+	// recoveryTime is how long after the last disruption an upstream may go without requests.
+	recoveryTime = 15 * time.Second
+	// stepsPerSecond is how many things happen in a second on average. Some overlap.
+	stepsPerSecond = 2.5
+
+	service    = "tickets"
+	host       = "tickets.example"
+	healthPath = "/health"
+)
+
+const configuration = `{"version":7,
+ "services":[{"name":"tickets","health_path":"/health","max_connections":130}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "virtual_hosts":[{"host":"tickets.example","paths":[
+  {"name":"r","path_prefix":"/r/","kind":"safe","timeout_ms":2500,"target_latency_ms":500,"priority":1,"service":"tickets","max_attempts":2}]}]}`
+
+// TestLeavingUpstreamGetsNoRequestsLater guards against requests that reach an upstream after its
+// leaving was acknowledged: after a restart, a late heartbeat was taken for a new one.
+func TestLeavingUpstreamGetsNoRequestsLater(t *testing.T) {
+	list := ciSeeds
+	if *seed != 0 {
+		list = []uint64{*seed}
+	} else if *seeds > 0 {
+		list = nil
+		first := uint64(time.Now().UnixNano())
+		for i := range *seeds {
+			list = append(list, first+uint64(i))
+		}
+	}
+	for _, s := range list {
+		t.Run(fmt.Sprint("seed-", s), func(t *testing.T) { runSeed(t, s) })
+	}
+}
+
+// site is a running deployment.
+type site struct {
+	t   *testing.T
+	c   *harness.Cluster
+	rng *rand.Rand
+	ctx context.Context
+	// falseHealth is set if upstreams that leave say that they are healthy.
+	falseHealth bool
+	// busy are the VMs whose daemon is being disrupted.
+	busy  map[*harness.VM]bool
+	count int
+	// current holds each VM's upstream; all are those that ever ran.
+	current map[*harness.VM]*upstream
+	all     []*upstream
+	pending sync.WaitGroup
+	mu      sync.Mutex
+}
+
+func runSeed(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &site{
+		t: t, c: harness.New(t), rng: rand.New(rand.NewPCG(seed, seed)), ctx: ctx,
+		busy: map[*harness.VM]bool{}, current: map[*harness.VM]*upstream{},
+	}
+	s.falseHealth = s.rng.IntN(3) == 0
+	s.start()
+	stopCallers := s.startCallers()
+	for began := time.Now(); time.Since(began) < length; {
+		s.step()
+		time.Sleep(time.Duration(s.rng.ExpFloat64() / stepsPerSecond * float64(time.Second)))
+	}
+	s.pending.Wait()
+	s.checkRecovery()
+	time.Sleep(time.Second)
+	stopCallers()
+	s.check(seed)
+}
+
+// start starts the daemons and an upstream beside each, and waits until all get requests.
+func (s *site) start() {
+	log := store.NewClient(s.c.LogURL, time.Second, nil)
+	if err := log.AppendKeyed(s.ctx, "keyed.op", "config", []byte(configuration)); err != nil {
+		s.t.Fatal(err)
+	}
+	for i := range *vms {
+		v := s.c.AddPlatformVM(fmt.Sprint("vm-", i), []string{"ikeja", "lekki", "yaba"}[i%3], service)
+		s.startUpstream(v)
+	}
+	for _, v := range s.c.VMs {
+		s.awaitReady(v)
+	}
+}
+
+func (s *site) awaitReady(v *harness.VM) {
+	s.t.Helper()
+	harness.Eventually(s.t, v.Name+" is ready", func() error {
+		res, err := http.Get("http://" + v.Platform.Ready + "/ready")
+		if err != nil {
+			return err
+		}
+		defer res.Body.Close()
+		if res.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", res.StatusCode)
+		}
+		return nil
+	})
+}
+
+// startUpstream starts the VM's next upstream, at the address of the one before.
+func (s *site) startUpstream(v *harness.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count++
+	var u *upstream
+	harness.Eventually(s.t, "address of the next upstream", func() (err error) {
+		u, err = startUpstream(s.ctx, v, fmt.Sprintf("i-%d", s.count), s.falseHealth)
+		return err
+	})
+	s.current[v] = u
+	s.all = append(s.all, u)
+}
+
+// startCallers starts callers at each VM, which keep their connections. It returns a function that
+// ends them.
+func (s *site) startCallers() (stop func()) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	var callers sync.WaitGroup
+	for _, v := range s.c.VMs {
+		for range 3 {
+			callers.Go(func() {
+				client := harness.NewCallerClient()
+				defer client.CloseIdleConnections()
+				for n := 0; ctx.Err() == nil; n++ {
+					v.SendTo(ctx, client, host, "/r/x", fmt.Sprintf("%s-%d-%d", v.Name, n, rand.Int64()))
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+	return func() {
+		cancel()
+		callers.Wait()
+	}
+}
+
+// step does something to a random VM.
+func (s *site) step() {
+	v := s.c.VMs[s.rng.IntN(len(s.c.VMs))]
+	late := time.Duration(s.rng.Int64N(int64(maxLateness)))
+	down := 200*time.Millisecond + time.Duration(s.rng.Int64N(int64(time.Second)))
+	deregister := s.rng.IntN(2) == 0
+	serveFor := 3*time.Second + time.Duration(s.rng.Int64N(int64(5*time.Second)))
+	switch s.rng.IntN(8) {
+	case 0, 1, 2:
+		s.leave(v, deregister, late, serveFor)
+	case 3:
+		s.crash(v, late, down)
+	case 4:
+		s.disrupt([]*harness.VM{v}, func(v *harness.VM) { v.Kill(); time.Sleep(down); v.Start() })
+	case 5:
+		s.disrupt([]*harness.VM{v}, func(v *harness.VM) { v.Stop(); time.Sleep(down); v.Start() })
+	case 6:
+		s.disrupt([]*harness.VM{v}, func(v *harness.VM) { v.Pause(); time.Sleep(3 * down); v.Resume() })
+	case 7:
+		if s.rng.IntN(3) == 0 {
+			s.disrupt(s.c.VMs, func(v *harness.VM) { v.Kill(); time.Sleep(down); v.Start() })
+		}
+	}
+}
+
+// leave makes the VM's upstream leave. A heartbeat of before arrives late, and the daemon is killed
+// or stopped in most cases. Another upstream starts at the address once it has ended.
+func (s *site) leave(v *harness.VM, deregister bool, late, serveFor time.Duration) {
+	u := s.upstreamOf(v)
+	if u == nil {
+		return
+	}
+	u.sendLate(late)
+	restart := s.rng.IntN(4)
+	s.pending.Go(func() {
+		u.leave(deregister, serveFor)
+		switch restart {
+		case 0:
+			s.disrupt([]*harness.VM{v}, func(v *harness.VM) { v.Kill(); time.Sleep(300 * time.Millisecond); v.Start() })
+		case 1:
+			s.disrupt([]*harness.VM{v}, func(v *harness.VM) { v.Stop(); v.Start() })
+		case 2:
+			s.disrupt(s.c.VMs, func(v *harness.VM) { v.Kill(); time.Sleep(300 * time.Millisecond); v.Start() })
+		}
+		<-u.ctx.Done()
+		s.startUpstream(v)
+	})
+}
+
+// crash ends the VM's upstream without a word; another one starts later.
+func (s *site) crash(v *harness.VM, late, down time.Duration) {
+	u := s.upstreamOf(v)
+	if u == nil {
+		return
+	}
+	u.sendLate(late)
+	u.ended()
+	s.pending.Go(func() {
+		time.Sleep(down)
+		s.startUpstream(v)
+	})
+}
+
+// upstreamOf returns the VM's upstream and takes it away, or nil if it is ending already.
+func (s *site) upstreamOf(v *harness.VM) *upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.current[v]
+	s.current[v] = nil
+	return u
+}
+
+// disrupt disrupts the daemons of those VMs that are not disrupted already, at the same time.
+func (s *site) disrupt(vms []*harness.VM, how func(*harness.VM)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range vms {
+		if s.busy[v] {
+			continue
+		}
+		s.busy[v] = true
+		s.pending.Go(func() {
+			how(v)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.busy[v] = false
+		})
+	}
+}
+
+// checkRecovery fails the test unless all upstreams get requests again.
+func (s *site) checkRecovery() {
+	s.t.Helper()
+	from := time.Now()
+	for {
+		idle := slices.DeleteFunc(slices.Clone(s.c.VMs), func(v *harness.VM) bool { return s.current[v].runsSince(from) > 0 })
+		if len(idle) == 0 {
+			return
+		}
+		if time.Since(from) > recoveryTime {
+			s.t.Errorf("%d upstreams get no requests %v after the last disruption, the first on %s", len(idle), recoveryTime, idle[0].Name)
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// check fails the test if requests reached upstreams that had left.
+func (s *site) check(seed uint64) {
+	said, left := 0, 0
+	for _, u := range s.all {
+		if !u.leavingAt.IsZero() {
+			said++
+		}
+		if !u.acknowledgedAt.IsZero() {
+			left++
+		}
+		if late := u.runsAfterLeaving(); len(late) > 0 {
+			s.t.Errorf("%d requests reached %s after its leaving was acknowledged, the first %v after it", len(late), u.id, late[0].at.Sub(u.acknowledgedAt))
+		}
+	}
+	s.t.Logf("seed %d: %d upstreams, %d said that they leave, acknowledged to %d, false health checks: %t", seed, len(s.all), said, left, s.falseHealth)
+}
