A daemon that is stopped as it starts ends

A daemon stopped right after its start never ended.

Cause: Shutdown closes the listener that Serve has stored. If Serve's goroutine had not run yet, there was none, and Serve then accepted connections for good. It now closes the listener if the transport has been shut down.

TestServeReturnsAfterAnEarlierShutdown: did not return within 5 s before, returns now.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -83,10 +83,14 @@
 	}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. It closes the listener itself if the
+// transport has been shut down before.
 func (t *Transport) Serve(ln net.Listener) {
 	t.mu.Lock()
 	t.ln = ln
+	if t.closed {
+		ln.Close()
+	}
 	t.mu.Unlock()
 	for {
 		raw, err := ln.Accept()
