A poison request is contained also if its callers leave before it crashes an upstream

Cause: an attempt whose sender had left was forgotten by its owner, which returned before it looked whether the upstream had crashed; and a crash at which nobody waited was not noticed at all.

Change: the digest of such an attempt is kept until its deadline, at which upstreams stop work. It counts as running: for the attribution of a crash, which is recorded for it, and for copies that must not start beside it. A connection that is refused while there are such attempts is looked at as a possible crash.

Why this works: who is to blame no longer depends on who waits, and the deadline bounds how long somebody who left is suspected. TestPoisonRequestOfCallersWhoLeftIsQuarantined failed before in both cases.

--- a/internal/callpath/crash.go
+++ b/internal/callpath/crash.go
@@ -58,6 +58,16 @@
 	return d.last, true
 }
 
+// since returns the last crash if it was detected after the given time, or the zero value.
+func (d *crashDetector) since(began time.Time) crash {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.detectedAt.After(began) {
+		return crash{}
+	}
+	return d.last
+}
+
 // refusesConnections reports whether connections to the address are refused. An idle
 // connection that is still open shows at no cost that the process is running.
 func (p *pool) refusesConnections(ctx context.Context) bool {
--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -94,6 +94,9 @@
 	return ""
 }
 
+// simCallerLeft is the status of a run whose caller has left. The upstream may still run it.
+const simCallerLeft = 0
+
 // startRun starts an attempt that has a slot, or returns the reason why it must not run.
 // onCrash is called if the upstream crashes during the run; otherwise the caller must
 // call finish.
@@ -114,10 +117,14 @@
 		})
 	}
 	s.seq++
-	id := s.seq
+	id, began := s.seq, s.now
 	vm.runs[id] = &simRun{attempt: &a, onCrash: onCrash}
 	return func(status int) {
 		delete(vm.runs, id)
+		if status == simCallerLeft {
+			vm.owner.abandonAttempt(vm.local, &a, began)
+			return
+		}
 		vm.owner.endAttempt(vm.local, &a)
 		vm.owner.recordAnswer(&a, status)
 		s.propagate(vm)
@@ -137,11 +144,13 @@
 		runs = append(runs, vm.runs[id])
 	}
 	clear(vm.runs)
+	vm.local.attempts.expire(s.now)
 	c := crash{n: vm.simUpstream.crashCount, culprit: vm.local.attempts.culprit(vm.suspects)}
 	for _, r := range runs {
 		vm.owner.endAttempt(vm.local, r.attempt)
 		vm.owner.recordCrash(r.attempt, c)
 	}
+	vm.owner.recordAbandoned(vm.local, vm.id, c)
 	for _, r := range runs {
 		r.onCrash()
 	}
@@ -284,6 +293,30 @@
 	}
 }
 
+// TestFleetQuarantinesPoisonRequestsOfCallersWhoLeave plays the same with callers of all requests who
+// leave at any moment, most of them before the poison request crashes an upstream.
+func TestFleetQuarantinesPoisonRequestsOfCallersWhoLeave(t *testing.T) {
+	for _, tc := range []struct {
+		leaveShare float64
+		seeds      uint64
+	}{{0.3, 60}, {0.9, 40}} {
+		t.Run(fmt.Sprint(tc.leaveShare), func(t *testing.T) {
+			var sum crashTally
+			for seed := range tc.seeds {
+				got := runWithCrashes(11, 8*time.Second, seed, func(s *fleetSim) {
+					s.leaveShare = tc.leaveShare
+					withPoisonRequests(1)(s)
+				}).tallyCrashes()
+				if got.crashes < suspect.QuarantineThreshold || got.crashes > 2*suspect.QuarantineThreshold || got.lateRuns > 0 || got.wronglyRefused > 0 {
+					t.Errorf("seed %d: %+v", seed, got)
+				}
+				sum.add(got)
+			}
+			t.Logf("mean of %.1f crashes over %d seeds; %d other calls refused of %d calls in total", float64(sum.crashes)/float64(tc.seeds), tc.seeds, sum.wronglyRefused, sum.calls)
+		})
+	}
+}
+
 // TestFleetQuarantinesNoBystanders guards against calls that are refused as quarantined
 // because they ran beside a poison request at upstreams that crashed within the time that a
 // record takes to reach the other daemons. With these seeds one to three calls were refused.
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -47,6 +47,9 @@
 	sampledInUse, sampledSlots map[string]int
 	// crashes records the crashes of upstreams.
 	crashes simCrashes
+	// leaveShare is the fraction of the callers who leave at a random moment within their
+	// objective.
+	leaveShare float64
 }
 
 // simVM is a VM with its daemon and one upstream.
@@ -301,6 +304,7 @@
 		took := s.now.Sub(sc.firstSent)
 		left := sc.deadline.Sub(s.now)
 		switch {
+		case r.Reason == outcome.ReasonCancelled: // the caller has left
 		case r.Outcome == outcome.Answered && r.Status < 500:
 			if took <= k.route.Policy.Objective {
 				k.inTime++
@@ -387,7 +391,7 @@
 				in.picker.Observe(u, in.rankUrgency(&c.attempt), r)
 				in.picker.Finished(u)
 				attempts.Add(u.ID, u.Domain, r)
-				if !in.mayRetry(c, attempts) {
+				if r.Reason == outcome.ReasonCancelled || !in.mayRetry(c, attempts) {
 					done(attempts.Best())
 					return
 				}
@@ -502,6 +506,18 @@
 		s.deliverDecisions(vm)
 		return
 	}
+	if s.leaveShare > 0 && s.rng.Float64() < s.leaveShare {
+		s.after(time.Duration(s.rng.Float64()*float64(k.route.Policy.Objective)), func() {
+			if finished {
+				return
+			}
+			finished = true
+			finish(simCallerLeft)
+			gate.Release(s.now.Sub(began))
+			reply(outcome.MayHaveRun(outcome.ReasonCancelled, nil))
+			s.deliverDecisions(vm)
+		})
+	}
 	end := func(status int) {
 		if finished {
 			return
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -195,6 +196,9 @@
 		reason, unsent = outcome.ReasonUnreachable, true
 	}
 	if unsent {
+		if errors.Is(err, syscall.ECONNREFUSED) && loc.attempts.anyAbandoned() {
+			o.detectCrash(ctx, loc, a.Upstream) // nobody else may have been waiting there
+		}
 		r := outcome.Refuse(reason, outcome.MinRetryAfter)
 		r.Err = err
 		return o.refuseAdmitted(loc, a, r)
@@ -202,6 +206,7 @@
 	loc.gate.Release(o.cfg.Now().Sub(began))
 	o.ledger.Finish(a.ID)
 	if ctx.Err() != nil {
+		o.abandonAttempt(loc, a, began)
 		o.logUnknown(loc, a, began, outcome.CancelReason(ctx), err)
 		return outcome.MayHaveRun(outcome.CancelReason(ctx), err)
 	}
@@ -214,20 +219,31 @@
 // diagnoseFailure distinguishes a crash of the upstream from a broken connection, and
 // records the crash for the attempt's request.
 func (o *Owner) diagnoseFailure(ctx context.Context, loc *localUpstream, a *Attempt) outcome.Reason {
-	latest, first := loc.crashes.detect(ctx, loc.pool, o.cfg.Now, func() suspect.Digest { return loc.attempts.culprit(o.cfg.Suspects) })
+	latest := o.detectCrash(ctx, loc, a.Upstream)
 	if latest.n == 0 {
 		return outcome.ReasonBroken
 	}
 	o.cfg.Metrics.CrashedAttempts.Inc(1)
 	o.recordCrash(a, latest)
-	if first {
-		o.cfg.Metrics.UpstreamCrashes.Inc(1)
-		o.cfg.Logger.Warn().Str("step", "upstream-ended").Str("peer", a.Upstream).Uint64("end", latest.n).
-			Int("in_flight", loc.gate.Load().InFlight).Stringer("culprit", latest.culprit).Msg("upstream crashed: its address refuses connections")
-	}
 	return outcome.ReasonCrashed
 }
 
+// detectCrash returns the crash of the upstream if it has crashed, or else the zero value. It
+// records a new crash for the attempts whose senders had left.
+func (o *Owner) detectCrash(ctx context.Context, loc *localUpstream, upstream string) crash {
+	loc.attempts.expire(o.cfg.Now())
+	culprit := func() suspect.Digest { return loc.attempts.culprit(o.cfg.Suspects) }
+	latest, first := loc.crashes.detect(ctx, loc.pool, o.cfg.Now, culprit)
+	if !first {
+		return latest
+	}
+	o.cfg.Metrics.UpstreamCrashes.Inc(1)
+	o.cfg.Logger.Warn().Str("step", "upstream-ended").Str("peer", upstream).Uint64("end", latest.n).
+		Int("in_flight", loc.gate.Load().InFlight).Stringer("culprit", latest.culprit).Msg("upstream crashed: its address refuses connections")
+	o.recordAbandoned(loc, upstream, latest)
+	return latest
+}
+
 // logUnknown logs an attempt whose outcome is unknown.
 func (o *Owner) logUnknown(loc *localUpstream, a *Attempt, began time.Time, reason outcome.Reason, err error) {
 	if !mayLog(o.cfg.Logger, &o.logLimit, o.cfg.Now(), "run") {
--- a/internal/callpath/runningattempts.go
+++ b/internal/callpath/runningattempts.go
@@ -1,7 +1,10 @@
 package callpath
 
 import (
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
@@ -12,6 +15,9 @@
 type runningAttempts struct {
 	mu       sync.Mutex
 	attempts map[*Attempt]struct{}
+	// abandoned holds, by request, until when the upstream may still run attempts whose
+	// sender has left. A crash is evidence against them like against the others.
+	abandoned map[suspect.Digest]time.Time
 }
 
 // tryAdd adds an attempt, or returns the reason why it must not run beside the others.
@@ -39,8 +45,7 @@
 	if crashes == 0 {
 		return ""
 	}
-	for other := range r.attempts {
-		d := other.computeDigest()
+	for _, d := range r.digests() {
 		if d == a.digest() {
 			return outcome.ReasonSuspectRunning
 		}
@@ -69,6 +74,8 @@
 		return 0
 	}
 	most, candidate, ambiguous := isolationThreshold-1, suspect.Digest(0), false
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, d := range r.digests() {
 		switch n := t.CrashCount(d); {
 		case n > most:
@@ -83,13 +90,51 @@
 	return candidate
 }
 
-// digests returns the digests of the running attempts' requests.
+// digests returns the digests of the requests that are running or may be. The caller must
+// hold r.mu.
 func (r *runningAttempts) digests() []suspect.Digest {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []suspect.Digest
+	out := slices.Collect(maps.Keys(r.abandoned))
 	for a := range r.attempts {
 		out = append(out, a.computeDigest())
 	}
 	return out
 }
+
+// abandon replaces a running attempt, whose sender has left, by the request's digest. The upstream
+// may run it until its deadline.
+func (r *runningAttempts) abandon(a *Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.attempts, a)
+	if r.abandoned == nil {
+		r.abandoned = map[suspect.Digest]time.Time{}
+	}
+	d := a.computeDigest()
+	if until, ok := r.abandoned[d]; !ok || a.Deadline.After(until) {
+		r.abandoned[d] = a.Deadline
+	}
+}
+
+// expire forgets the abandoned attempts whose deadline has passed: upstreams stop work then.
+func (r *runningAttempts) expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.abandoned, func(_ suspect.Digest, until time.Time) bool { return !now.Before(until) })
+}
+
+// anyAbandoned reports whether the upstream may run an attempt whose sender has left.
+func (r *runningAttempts) anyAbandoned() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.abandoned) > 0
+}
+
+// takeAbandoned returns the requests that the upstream may have been running for senders that have
+// left, and forgets them: the upstream has crashed.
+func (r *runningAttempts) takeAbandoned() []suspect.Digest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := slices.Sorted(maps.Keys(r.abandoned))
+	r.abandoned = nil
+	return taken
+}
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -69,6 +69,7 @@
 	if isolated && o.cfg.Suspects.RunsElsewhere(a.digest(), a.Upstream) {
 		return outcome.Refuse(outcome.ReasonSuspectRunning, suspectRetryAfter)
 	}
+	loc.attempts.expire(o.cfg.Now())
 	switch reason := loc.attempts.tryAdd(o.cfg.Suspects, a); reason {
 	case "":
 		if isolated {
@@ -90,7 +91,28 @@
 	}
 }
 
-// recordCrash records that an upstream crashed while it ran the attempt. Only the culprit
+// abandonAttempt handles an attempt whose sender has left before the response. The upstream may
+// still run it, and crash: who is to blame for that does not depend on who waits. The announcement
+// of a run lapses by itself.
+func (o *Owner) abandonAttempt(loc *localUpstream, a *Attempt, began time.Time) {
+	loc.attempts.abandon(a)
+	loc.attempts.expire(o.cfg.Now())
+	if c := loc.crashes.since(began); c.n > 0 {
+		o.recordAbandoned(loc, a.Upstream, c)
+	}
+}
+
+// recordAbandoned records a crash for the attempts whose senders had left.
+func (o *Owner) recordAbandoned(loc *localUpstream, upstream string, c crash) {
+	for _, d := range loc.attempts.takeAbandoned() {
+		o.recordCrashOf(d, upstream, c)
+	}
+}
+
+// recordCrash records that an upstream crashed while it ran the attempt.
+func (o *Owner) recordCrash(a *Attempt, c crash) { o.recordCrashOf(a.digest(), a.Upstream, c) }
+
+// recordCrashOf records that an upstream crashed while it ran a request. Only the culprit
 // of the crash can be moved into quarantine by it; otherwise requests that run beside a
 // poison request would be quarantined too. Crashes of other upstreams that this daemon has
 // not heard of yet can still raise the count of the others to the threshold, so that a
@@ -98,12 +120,12 @@
 // answered here is not recorded for it if that answer is recent: popular requests are
 // running at nearly every upstream at any time and would be quarantined whenever three
 // upstreams crash at once.
-func (o *Owner) recordCrash(a *Attempt, c crash) {
-	t, d := o.cfg.Suspects, a.digest()
+func (o *Owner) recordCrashOf(d suspect.Digest, upstream string, c crash) {
+	t := o.cfg.Suspects
 	if t.CrashCount(d) >= isolationThreshold && d != c.culprit || o.recent.ExemptOnce(d) {
 		return
 	}
-	id := suspect.NewCrashID(a.Upstream, o.cfg.Incarnation, c.n)
+	id := suspect.NewCrashID(upstream, o.cfg.Incarnation, c.n)
 	if d == c.culprit {
 		t.RecordCrash(d, id)
 		return
--- a/internal/callpath/suspects_test.go
+++ b/internal/callpath/suspects_test.go
@@ -1,7 +1,9 @@
 package callpath
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -10,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/suspect"
 )
@@ -329,3 +332,85 @@
 	}
 	return u
 }
+
+// TestPoisonRequestOfCallersWhoLeftIsQuarantined guards against a poison request that is never
+// contained, because its callers leave before it crashes the upstream: nobody waits for the attempt
+// when the upstream ends. Others may be waiting there, or find the upstream gone later.
+func TestPoisonRequestOfCallersWhoLeftIsQuarantined(t *testing.T) {
+	const (
+		leaveAfter = 30 * time.Millisecond
+		crashAfter = 80 * time.Millisecond
+	)
+	for _, waiting := range []bool{true, false} {
+		t.Run(fmt.Sprintf("others waiting %v", waiting), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, 1, 8, 2*crashAfter)
+			w := r.workers[0]
+			r.crashLater("/poison", crashAfter)
+			attempt := func(id, path string) *Attempt {
+				return &Attempt{
+					ID: id, Upstream: w.id, Urgency: config.Normal, Deadline: time.Now().Add(time.Minute),
+					Method: http.MethodGet, URL: &url.URL{Path: path}, Header: http.Header{},
+				}
+			}
+			for n := range suspect.QuarantineThreshold {
+				other := make(chan outcome.Result, 1)
+				if waiting {
+					go func() {
+						other <- w.owner.execute(context.Background(), attempt(fmt.Sprint("other-", n), fmt.Sprint("/other/", n)))
+					}()
+				}
+				ctx, leave := context.WithTimeout(context.Background(), leaveAfter)
+				left := w.owner.execute(ctx, attempt(fmt.Sprint("left-", n), "/poison"))
+				leave()
+				is.Equal(left.Outcome, outcome.Unknown)
+				time.Sleep(2 * crashAfter)
+				if waiting {
+					is.Equal((<-other).Reason, outcome.ReasonCrashed)
+				} else {
+					is.Equal(w.owner.execute(context.Background(), attempt(fmt.Sprint("late-", n), "/late")).Reason, outcome.ReasonUnreachable)
+				}
+				w.restartAtSameAddress(t)
+			}
+			rec, _ := w.owner.cfg.Suspects.Record(attempt("", "/poison").digest())
+			is.True(rec.Quarantined())
+			refused := w.owner.execute(context.Background(), attempt("refused", "/poison"))
+			is.Equal(refused.Reason, outcome.ReasonQuarantined)
+		})
+	}
+}
+
+// restartAtSameAddress starts the worker's upstream again, which has crashed.
+func (w *worker) restartAtSameAddress(t *testing.T) {
+	t.Helper()
+	ln, err := net.Listen("tcp", w.up.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := httptest.NewUnstartedServer(w.up.Config.Handler)
+	up.Listener.Close()
+	up.Listener = ln
+	up.Start()
+	t.Cleanup(up.Close)
+	w.up = up
+}
+
+// crashLater makes each worker's upstream crash some time after it has begun to run a request for
+// the path, whether or not the connection is still open.
+func (r *rig) crashLater(path string, after time.Duration) {
+	for _, w := range r.workers {
+		serve := w.up.Config.Handler
+		w.up.Config.Handler = http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+			if req.URL.Path != path {
+				serve.ServeHTTP(rw, req)
+				return
+			}
+			up := w.up
+			time.AfterFunc(after, func() {
+				up.Listener.Close()
+				up.CloseClientConnections()
+			})
+			<-req.Context().Done()
+		})
+	}
+}
