Bytes without the request's ID are no answer unless they refuse

Cause: any response of status 300 or more without an ID was taken for the response to the request. Upstreams repeat the ID in all responses but two forms of refusal, and only a refusal says that a request has not run.

Change: a response without an ID belongs to the request only if it is a refusal (X-Not-Executed, or 421); any other is skipped, like one that names another request, and the connection is not used again.

--- a/internal/callpath/dialect.go
+++ b/internal/callpath/dialect.go
@@ -138,14 +138,16 @@
 // unnamed reports whether a response lacks the request ID that upstreams repeat.
 func (d Dialect) unnamed(h http.Header) bool { return d.EchoesRequestID && h.Get(d.Request) == "" }
 
-// foreign reports whether a response belongs to another request.
+// foreign reports whether a response belongs to another request, or to none: a faulty upstream may
+// send additional bytes after a response. A response without the request's ID belongs to this one
+// only if it is a refusal, which some upstreams send without it.
 func (d Dialect) foreign(req *http.Request, res *http.Response) bool {
 	if !d.EchoesRequestID {
 		return false
 	}
-	id := res.Header.Get(d.Request)
-	if id == "" {
-		return res.StatusCode < http.StatusMultipleChoices
+	if d.unnamed(res.Header) {
+		_, refused := d.refusal(res)
+		return !refused
 	}
-	return !strings.EqualFold(id, req.Header.Get(d.Request))
+	return !strings.EqualFold(res.Header.Get(d.Request), req.Header.Get(d.Request))
 }
--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -317,6 +317,19 @@
 	}
 }
 
+// TestFleetStopsPoisonRequestOfLeavingCallers guards against copies of a poison request that start
+// once all daemons could know of it, where nine of ten callers leave.
+func TestFleetStopsPoisonRequestOfLeavingCallers(t *testing.T) {
+	const seed = 99
+	got := runWithCrashes(11, 8*time.Second, seed, func(s *fleetSim) {
+		s.leaveShare = 0.9
+		withPoisonRequests(1)(s)
+	}).tallyCrashes()
+	if got.lateRuns > 0 {
+		t.Errorf("seed %d: %d runs once all daemons could know of the request, want none", seed, got.lateRuns)
+	}
+}
+
 // TestFleetQuarantinesNoBystanders guards against calls that are refused as quarantined
 // because they ran beside a poison request at upstreams that crashed within the time that a
 // record takes to reach the other daemons. With these seeds one to three calls were refused.
