The leaving of an upstream is acknowledged once a peer and the store hold it

Cause: the acknowledgement waited for the first holder of the departure. A peer was the first, and was killed with the daemon; the write to the store had not ended. After the restart the store had nothing to say, which counted as one source, and the false health check as the second.

Change: it waits for a peer and the store, for 0.3 s; then one of them suffices. It names the revision at which a departure was last added, as the store is not written again for other changes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -101,7 +101,7 @@
 	// healthChecker and healthClient make the health checks of upstreams.
 	healthChecker HealthChecker
 	healthClient  http.RoundTripper
-	// departureWaiters wait until other daemons know of departures. Only the goroutine of the
+	// departureWaiters wait until others know of departures. Only the goroutine of the
 	// loop accesses them.
 	departureWaiters []departureWaiter
 	// departuresToStore is the record that is being written to the store, or nil.
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -55,17 +55,22 @@
 // Errors of announcements and removals that are not in force, or would not survive this daemon.
 var (
 	errStopped       = errors.New("the daemon has stopped")
-	errNotReplicated = errors.New("no other daemon has confirmed that it knows that the upstream leaves")
+	errNotReplicated = errors.New("neither another daemon nor the store has confirmed that it knows that the upstream leaves")
 )
 
-// departureTimeout is how long an upstream that leaves waits for another daemon to know of it. Upstreams
-// wait a second for the answer.
-const departureTimeout = 800 * time.Millisecond
+const (
+	// departureTimeout is how long an upstream that leaves waits for others to know of it.
+	// Upstreams wait a second for the answer.
+	departureTimeout = 800 * time.Millisecond
+	// secondHolderTimeout is how long it waits for both another daemon and the store. Both are
+	// of use if all daemons end right after the answer.
+	secondHolderTimeout = 300 * time.Millisecond
+)
 
-// departureWaiter waits until another daemon holds this daemon's record as of a revision.
+// departureWaiter waits until others hold the departures of a revision of this daemon's record.
 type departureWaiter struct {
 	seq   uint64
-	until time.Time
+	since time.Time
 	held  chan struct{}
 }
 
@@ -81,9 +86,9 @@
 // daemon. Otherwise the daemon could promise that the upstream gets no more calls, restart, and
 // know nothing of it.
 func (a *Agent) awaitDeparture() error {
-	waiter := departureWaiter{until: time.Now().Add(departureTimeout), held: make(chan struct{})}
+	waiter := departureWaiter{since: time.Now(), held: make(chan struct{})}
 	applied := a.Inspect(func(w *table.World) {
-		waiter.seq = w.Self.Seq
+		waiter.seq = w.Memory.Changed
 		a.departureWaiters = append(a.departureWaiters, waiter)
 		a.notifyDepartureWaiters()
 	})
@@ -102,18 +107,19 @@
 	}
 }
 
-// notifyDepartureWaiters releases the waiters whose departures another daemon holds, and drops
-// those that no longer wait. Only the goroutine of the loop calls it.
+// notifyDepartureWaiters releases the waiters whose departures others hold, and drops those that no
+// longer wait. Only the goroutine of the loop calls it.
 func (a *Agent) notifyDepartureWaiters() {
 	if len(a.departureWaiters) == 0 {
 		return
 	}
 	var waiting []departureWaiter
 	for _, d := range a.departureWaiters {
+		waited := time.Since(d.since)
 		switch {
-		case system.DeparturesHeld(a.world, d.seq):
+		case system.DeparturesHeld(a.world, d.seq, waited >= secondHolderTimeout):
 			close(d.held)
-		case time.Now().Before(d.until):
+		case waited < departureTimeout:
 			waiting = append(waiting, d)
 		}
 	}
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -98,27 +98,33 @@
 	return list
 }
 
-// DeparturesHeld reports whether a departure that this daemon's record contains since revision
-// seq survives this daemon: another daemon or the store holds it. It also does so if there is no
-// other daemon, or if all connected ones are of builds that do not remember departures.
-func DeparturesHeld(w *table.World, seq uint64) bool {
-	if w.Memory.Held >= seq {
-		return true
-	}
+// DeparturesHeld reports whether a departure that was added to this daemon's record at the given
+// revision survives this daemon: another daemon and the store hold it or, if one suffices, either of
+// them. That no other daemon can hold it, as there is none or all connected ones are of builds that do not
+// remember departures, counts as held by one.
+func DeparturesHeld(w *table.World, seq uint64, oneSuffices bool) bool {
+	peer := w.Memory.HeldByPeer >= seq || !peersCanHold(w)
+	stored := w.Memory.HeldByStore >= seq
+	return peer && stored || oneSuffices && (peer || stored)
+}
+
+// peersCanHold reports whether another daemon can hold this daemon's departures, now or once it is
+// connected.
+func peersCanHold(w *table.World) bool {
 	connected, takes := false, false
 	for _, l := range w.Links {
 		connected = connected || l.Up()
 		takes = takes || l.Up() && l.TakesDepartures
 	}
 	if connected {
-		return !takes
+		return takes
 	}
 	for _, m := range w.Members {
 		if !m.Lapsed {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // acknowledgeRecord tells the sender of a record of its own that this daemon holds it, if it
@@ -133,7 +139,7 @@
 
 func receiveDeparturesHeld(w *table.World, m wire.DeparturesHeld) {
 	if m.Incarnation == w.Self.Incarnation {
-		w.Memory.Held = max(w.Memory.Held, m.Seq)
+		w.Memory.HeldByPeer = max(w.Memory.HeldByPeer, m.Seq)
 	}
 }
 
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -227,7 +227,7 @@
 	case DeparturesRead:
 		receiveStoredDepartures(w, now, v, out)
 	case DeparturesStored:
-		w.Memory.Held = max(w.Memory.Held, v.Seq)
+		w.Memory.HeldByStore = max(w.Memory.HeldByStore, v.Seq)
 	case StoreEpoch:
 		receiveStoreEpoch(w, now, v, out)
 	case SeedsFound:
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -187,7 +187,10 @@
 		w.ViewDirty = true
 		return
 	}
-	w.Memory.Unstored = w.Memory.Unstored || outdatesStore(w.Self.Departures, departures)
+	outdated := outdatesStore(w.Self.Departures, departures)
 	w.Self.Upstreams, w.Self.Departures = ups, departures
 	touchSelf(w)
+	if outdated {
+		w.Memory.Unstored, w.Memory.Changed = true, w.Self.Seq
+	}
 }
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -51,9 +51,12 @@
 // DepartureMemory is who else remembers the departures on this daemon's VM, for the time after a
 // restart.
 type DepartureMemory struct {
-	// Held is the highest revision of this daemon's record that contains departures and that
-	// another daemon or the store holds.
-	Held uint64
+	// Changed is the revision of this daemon's record at which a departure was last added.
+	// HeldByPeer and HeldByStore are the highest revisions whose departures another daemon and
+	// the store hold.
+	Changed     uint64
+	HeldByPeer  uint64
+	HeldByStore uint64
 	// Unstored is set if the store is to be told of a change.
 	Unstored bool
 	// OldestPeer is when the peer that had been running for longest when it last reported its
