--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -123,10 +123,10 @@
 }
 
 // Announce registers an upstream or renews its registration. It returns an error if the
-// announcement is not in force. When it returns nil, the view in force contains the upstream;
-// if the announcement is numbered and may be a late one from before the start of this daemon, the upstream gets calls
-// only once others have confirmed it. If the upstream is draining, it gets no new calls, and
-// another daemon remembers that for the next incarnation of this one.
+// announcement is not in force. When it returns nil, the view in force contains the upstream. If
+// the announcement is numbered and may be a late one from before the start of this daemon, the
+// upstream gets calls only once others have confirmed it. If the upstream is draining, it gets no
+// new calls, and others remember that for the next incarnation of this daemon.
 func (a *Agent) Announce(n Announcement) error {
 	name := a.upstreamName(n.ID)
 	up := wire.Upstream{ID: incarnationID(name, n.StartedMs), Service: n.Service, Version: n.Version, Slots: n.Slots, Draining: n.Draining}
@@ -150,9 +150,9 @@
 }
 
 // Remove deregisters an upstream whose process is about to exit. When it returns nil, the upstream
-// gets no new calls, a delayed announcement does not register it again, and another daemon
-// remembers that for the next incarnation of this one. startedMs is the start of the incarnation
-// that exits, in Unix milliseconds, or zero for the registered one.
+// gets no new calls, a delayed announcement does not register it again, and others remember that
+// for the next incarnation of this daemon. startedMs is the start of the incarnation that exits,
+// in Unix milliseconds, or zero for the registered one.
 func (a *Agent) Remove(id string, startedMs int64) error {
 	a.input(system.Removed{Name: a.upstreamName(id), StartedMs: startedMs})
 	return a.awaitDeparture()
--- a/internal/callpath/fleet_crash_test.go
+++ b/internal/callpath/fleet_crash_test.go
@@ -293,8 +293,9 @@
 	}
 }
 
-// TestFleetQuarantinesPoisonRequestsOfCallersWhoLeave plays the same with callers of all requests who
-// leave at any moment, most of them before the poison request crashes an upstream.
+// TestFleetQuarantinesPoisonRequestsOfCallersWhoLeave guards against a poison request that is not
+// contained, or harms others, where callers of all requests leave at any moment, many of them
+// before the crash.
 func TestFleetQuarantinesPoisonRequestsOfCallersWhoLeave(t *testing.T) {
 	for _, tc := range []struct {
 		leaveShare float64
--- a/internal/system/candidate.go
+++ b/internal/system/candidate.go
@@ -25,15 +25,15 @@
 }
 
 const (
-	// requiredWitnesses is how many independent sources must agree that a candidate has not left. Each of
-	// them may be missing or wrong while a failure lasts.
-	requiredWitnesses = 2
+	// requiredSources is how many independent sources must agree that a candidate has not
+	// left. Each of them may be missing or wrong while a failure lasts.
+	requiredSources = 2
 	// minAnnouncementGap is the shortest time between announcements that count as two:
 	// those that were held up together arrive together.
 	minAnnouncementGap = 400 * time.Millisecond
-	// An upstream that has announced itself steadyAnnouncements times over steadyTime counts as two
-	// witnesses, unless it says that it is not healthy: several delayed announcements are unlikely to arrive in such
-	// intervals.
+	// An upstream that has announced itself steadyAnnouncements times over steadyTime counts as
+	// two sources, unless it says that it is not healthy: several delayed announcements are
+	// unlikely to arrive in such intervals.
 	steadyAnnouncements = 3
 	steadyTime          = 1500 * time.Millisecond
 	// healthCheckInterval is the interval of the health checks of a candidate.
@@ -46,8 +46,8 @@
 	if c == nil {
 		c = &table.Candidate{FirstAt: now, NextCheck: now, Remembered: w.Lapsed[a.ID] != nil}
 		w.Candidates[a.ID] = c
-		if r := rival(w, a); r != nil {
-			c.Rival, c.RivalSequence = r.ID, r.Sequence
+		if r := addressHolder(w, a); r != nil {
+			c.Holder, c.HolderSequence = r.ID, r.Sequence
 		}
 	}
 	c.Local, c.LastAt = a, now
@@ -88,11 +88,11 @@
 // as long as Params.AnnouncementDelay; until then others have to confirm that the upstream did
 // not leave before.
 func hasNotLeft(w *table.World, now time.Time, c *table.Candidate) bool {
-	return c.Remembered || c.LastAt.Sub(w.Started) >= w.Params.AnnouncementDelay || witnesses(w, now, c) >= requiredWitnesses
+	return c.Remembered || c.LastAt.Sub(w.Started) >= w.Params.AnnouncementDelay || confirmingSources(w, now, c) >= requiredSources
 }
 
-// witnesses returns how many sources say that the candidate has not left.
-func witnesses(w *table.World, now time.Time, c *table.Candidate) int {
+// confirmingSources returns how many sources say that the candidate has not left.
+func confirmingSources(w *table.World, now time.Time, c *table.Candidate) int {
 	n := 0
 	if peersRemember(w, now) {
 		n++
@@ -123,16 +123,16 @@
 // ownsAddress reports whether the candidate is the process at its address. If another upstream
 // holds the address, either of the two may be the one that is gone.
 func ownsAddress(w *table.World, c *table.Candidate) bool {
-	r := rival(w, c.Local)
+	r := addressHolder(w, c.Local)
 	if r == nil || c.Answered {
 		return true
 	}
-	return r.ID == c.Rival && r.Sequence == c.RivalSequence && c.LastAt.Sub(c.FirstAt) >= steadyTime
+	return r.ID == c.Holder && r.Sequence == c.HolderSequence && c.LastAt.Sub(c.FirstAt) >= steadyTime
 }
 
-// rival returns the upstream that holds the address of a, or nil. One that is draining does not hold
-// it, nor does an earlier incarnation of a.
-func rival(w *table.World, a table.Local) *table.Local {
+// addressHolder returns the upstream that holds the address of a, or nil. One that is draining
+// does not hold it, nor does an earlier incarnation of a.
+func addressHolder(w *table.World, a table.Local) *table.Local {
 	for _, id := range sortedKeys(w.Locals) {
 		row := w.Locals[id]
 		if id != a.ID && row.Addr == a.Addr && !row.Draining && (row.Name != a.Name || row.StartedMs >= a.StartedMs) {
--- a/internal/system/leavinghistory_test.go
+++ b/internal/system/leavinghistory_test.go
@@ -11,24 +11,24 @@
 	"github.com/comfreygate/comfreygate/internal/table"
 )
 
-// falseWitness is the one source that may be false in a leavingHistory.
-type falseWitness string
+// falseSource is the one source that may be false in a leavingHistory.
+type falseSource string
 
 const (
-	noneFalse falseWitness = "none"
+	noneFalse falseSource = "none"
 	// peersCutOff: the failure domain of the upstream is cut off from the others at times.
-	peersCutOff falseWitness = "peers cut off"
+	peersCutOff falseSource = "peers cut off"
 	// healthLies: health checks are answered as healthy by upstreams that leave, and as not
 	// healthy by some that do not.
-	healthLies falseWitness = "health lies"
+	healthLies falseSource = "health lies"
 	// healthMissing: health checks get no answer.
-	healthMissing falseWitness = "health missing"
+	healthMissing falseSource = "health missing"
 	// storeDown: the store is out of reach of the upstream's daemon.
-	storeDown falseWitness = "store down"
+	storeDown falseSource = "store down"
 	// storeForgets: the store has come back from a copy from before each departure.
-	storeForgets falseWitness = "store forgets"
+	storeForgets falseSource = "store forgets"
 	// manyLate: up to three announcements of an upstream are late, not one.
-	manyLate falseWitness = "many late"
+	manyLate falseSource = "many late"
 )
 
 // leavingHistory is a generated history of the upstreams on one VM, which follow each other at one
@@ -37,7 +37,7 @@
 	t        *rapid.T
 	n        *testNet
 	node     *testNode
-	false    falseWitness
+	false    falseSource
 	upstream *historyUpstream
 	// left are the upstreams whose leaving was acknowledged.
 	left []*historyUpstream
@@ -274,7 +274,7 @@
 		n := newTestNet(rt.Fatalf, 3, 1)
 		n.checkFloor = false // all daemons may restart at once
 		h := &leavingHistory{t: rt, n: n, node: n.nodes[1], backAt: map[*testNode]time.Time{}}
-		h.false = rapid.SampledFrom([]falseWitness{noneFalse, peersCutOff, healthLies, healthMissing, storeDown, storeForgets, manyLate}).Draw(rt, "false")
+		h.false = rapid.SampledFrom([]falseSource{noneFalse, peersCutOff, healthLies, healthMissing, storeDown, storeForgets, manyLate}).Draw(rt, "false")
 		h.killAllOnAck = rapid.Bool().Draw(rt, "kill all on acknowledgement")
 		n.checkHealth, n.storeDelay = h.health, 60*time.Millisecond
 		n.storeUnreachable[h.node.domain] = h.false == storeDown
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -27,7 +27,7 @@
 		renewLocal(w, now, old, a, out)
 	case known || !a.Numbered():
 		addLocal(w, now, a, describeAnnouncement(w, now, a), out)
-	case a.Draining && rival(w, a) != nil:
+	case a.Draining && addressHolder(w, a) != nil:
 		// It may be the last word of a process that is gone, whose address has another one.
 		recordDeparture(w, now, a.Name, a.StartedMs)
 		publishLocals(w)
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -86,8 +86,8 @@
 	Healthy  bool
 	// NextCheck is when its health is checked next.
 	NextCheck time.Time
-	// Rival is the ID of the upstream that holds its address, or "", and RivalSequence that
-	// upstream's last sequence number when the candidate was first announced.
-	Rival         string
-	RivalSequence uint64
+	// Holder is the ID of the upstream that held its address when the candidate was first
+	// announced, or "", HolderSequence the sequence number of that one's last announcement.
+	Holder         string
+	HolderSequence uint64
 }
