Comments and messages of the departures after a newcomer's reading

A reason is back where a builds' difference or an endless answer stands behind a choice; no behaviour changes, one log text says "according to".

--- a/internal/agent/configmetrics.go
+++ b/internal/agent/configmetrics.go
@@ -13,8 +13,8 @@
 )
 
 // configMetrics are the metrics of this daemon's configuration: its version, its age, and the
-// numbers of documents read and refused, and of late announcements. Only the loop writes them; readers of the metrics
-// registry read them concurrently.
+// numbers of documents read and refused, and of late announcements. Only the loop writes them;
+// readers of the metrics registry read them concurrently.
 type configMetrics struct {
 	version atomic.Uint64
 	// installedAtMs is when the current version was installed, in Unix milliseconds.
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -26,7 +26,8 @@
 const (
 	// healthCheckTimeout bounds one health check.
 	healthCheckTimeout = 500 * time.Millisecond
-	// maxHealthHeaderBytes bounds the headers of a response to a health check. Its body is not read.
+	// maxHealthHeaderBytes bounds the headers of a response to a health check. Its body is not
+	// read. A faulty upstream may send bytes without end.
 	maxHealthHeaderBytes = 16 << 10
 )
 
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -197,7 +197,8 @@
 	}
 	if unsent {
 		if errors.Is(err, syscall.ECONNREFUSED) && loc.attempts.anyAbandoned() {
-			o.detectCrash(ctx, loc, a.Upstream) // nobody else may have been waiting there
+			// The senders of all attempts that ran there may have left, so that none has failed.
+			o.detectCrash(ctx, loc, a.Upstream)
 		}
 		r := outcome.Refuse(reason, outcome.MinRetryAfter)
 		r.Err = err
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -92,7 +92,7 @@
 }
 
 // abandonAttempt handles an attempt whose sender has left before the response. The upstream may
-// still run it, and crash: who is to blame for that does not depend on who waits. The
+// still run it and crash, which counts against the request as if the sender had waited. The
 // announcement of a suspect's run lapses by itself.
 func (o *Owner) abandonAttempt(loc *localUpstream, a *Attempt, began time.Time) {
 	loc.attempts.abandon(a)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -269,8 +269,7 @@
 			Window: Duration(p.Window), Fanout: p.Fanout, Roots: p.Roots,
 			Heartbeat: Duration(p.Heartbeat), SilentAfter: Duration(p.SilentAfter),
 			Renew: Duration(p.Renew), Lapse: Duration(p.Lapse), UpstreamLapse: Duration(p.UpstreamLapse),
-			AnnouncementDelay: Duration(p.AnnouncementDelay),
-			Grace:             Duration(p.Grace), Probe: Duration(p.Probe), MaxLinks: p.MaxLinks,
+			AnnouncementDelay: Duration(p.AnnouncementDelay), Grace: Duration(p.Grace), Probe: Duration(p.Probe), MaxLinks: p.MaxLinks,
 			SnapshotsPerSecond: p.SnapshotsPerSecond,
 		},
 		Calls: Calls{
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -192,7 +192,7 @@
 
 // endDeparted sends no more calls to an upstream that has left according to from.
 func endDeparted(w *table.World, d wire.Departure, from string, out *Outbox) {
-	detail := "it left before this daemon was started, says " + from
+	detail := "it left before this daemon was started, according to " + from
 	for _, id := range sortedKeys(w.Candidates) {
 		if c := w.Candidates[id]; c.Name == d.Name && c.StartedMs <= d.StartedMs {
 			delete(w.Candidates, id)
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -28,7 +28,7 @@
 	case known || !a.Numbered():
 		addLocal(w, now, a, describeAnnouncement(w, now, a), out)
 	case a.Draining && addressHolder(w, a) != nil:
-		// It may be the last word of a process that is gone, whose address has another one.
+		// It may be late, from a process that has exited and whose address another one has.
 		recordDeparture(w, now, a.Name, a.StartedMs)
 		publishLocals(w)
 	case a.Draining:
@@ -64,7 +64,7 @@
 }
 
 // describeAnnouncement returns what an announcement says of its sender and of its own age, and
-// how long this daemon has been running: what a restarted daemon is told may be of before its start.
+// how long this daemon has been running: an announcement from before its start may arrive late.
 func describeAnnouncement(w *table.World, now time.Time, a table.Local) string {
 	state := "ready"
 	if a.Draining {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -106,7 +106,8 @@
 	Rollouts string `json:"rollouts,omitempty"`
 	// TakesConfirmations is set if the sender accepts FreshnessConfirmation messages.
 	TakesConfirmations bool `json:"vouches,omitempty"`
-	// TakesDepartures is set if the sender accepts Departures and DeparturesHeld messages.
+	// TakesDepartures is set if the sender accepts Departures and DeparturesHeld messages. Builds
+	// that do not know them close the connection.
 	TakesDepartures bool `json:"departures,omitempty"`
 	Ping            Ping `json:"ping"`
 }
@@ -114,8 +115,8 @@
 // Departures tells a daemon which upstreams on its VM have left, as far as the sender remembers.
 // It is sent when a connection has been opened: the receiver may have been restarted.
 type Departures struct {
-	// UpMs is how long the sender has been running without a stall, in milliseconds. It may know
-	// of no departure from before.
+	// UpMs is how long the sender has been running without a stall, in milliseconds. Departures
+	// from before that time may be missing in List.
 	UpMs int64       `json:"up"`
 	List []Departure `json:"list,omitempty"`
 }
--- a/itest/harness/calls.go
+++ b/itest/harness/calls.go
@@ -84,7 +84,7 @@
 }
 
 // SendTo sends a GET request with the headers of the platform's callers to the VM's daemon, and
-// reads the response. Whether it is answered is up to the caller's own records.
+// reads the response. It returns no result: the upstreams record what they run.
 func (v *VM) SendTo(ctx context.Context, client *http.Client, host, path, id string) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+*v.callersAddr.Load()+path, nil)
 	if err != nil {
