--- a/internal/system/leaving_test.go
+++ b/internal/system/leaving_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/comfreygate/comfreygate/internal/config"
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/view"
 	"github.com/comfreygate/comfreygate/internal/wire"
@@ -249,3 +250,56 @@
 		t.Errorf("a ready upstream got calls for %v of %v", served, measured)
 	}
 }
+
+// TestLeavingUpstreamGetsNoCallsAfterItsDaemonAndThePeersThatKnowRestart guards against calls to an
+// upstream that is about to exit: its daemon and the daemons that it is connected to restart together.
+// The others have been running for long and know nothing, and health checks are answered as healthy.
+func TestLeavingUpstreamGetsNoCallsAfterItsDaemonAndThePeersThatKnowRestart(t *testing.T) {
+	for leaving, leave := range leavings {
+		t.Run(leaving, func(t *testing.T) {
+			n := newTestNetFor(t, 3, 12)
+			n.adjustParams = func(p *table.Params) { p.UpstreamLapse = numberedLapse }
+			n.storeDelay = tickInterval
+			n.extraDelay = func() time.Duration { return 100 * time.Millisecond }
+			n.checkHealth = func(node *testNode, c HealthCheck) (HealthChecked, bool) {
+				return HealthChecked{ID: c.ID, Process: "i-1", Healthy: true}, true
+			}
+			n.appendCommand(config.Command{ID: "a", Changes: []config.Change{{
+				Verb: config.Put, Ref: config.Ref{Kind: config.KindService, Name: "s"}, Service: &config.Service{Name: "s", HealthPath: "/health"},
+			}}})
+			n.converge(5 * time.Second)
+			u := &numberedUpstream{n: n, node: n.nodes[1], id: "i-1"}
+			u.run(15 * time.Second)
+			held := u.announcement(false)
+			u.silent = true
+			before := u.node.w.Memory.Changed
+			leave(u)
+			for seq := uint64(0); seq == 0 || !DeparturesHeld(u.node.w, seq, false); {
+				u.run(tickInterval)
+				if changed := u.node.w.Memory.Changed; changed > before {
+					seq = changed
+				}
+			}
+			killed := []*testNode{u.node}
+			for _, node := range n.nodes {
+				if row := node.w.Members[u.node.id]; node != u.node && row != nil && len(row.Departures) > 0 {
+					killed = append(killed, node)
+				}
+			}
+			for _, node := range killed {
+				n.kill(node)
+			}
+			n.run(300 * time.Millisecond)
+			for _, node := range killed {
+				n.start(node)
+			}
+			served := u.run(1500 * time.Millisecond)
+			u.send(held)
+			served += u.run(5 * time.Second)
+			if served > 0 {
+				t.Errorf("the upstream got calls for %v after its daemon had acknowledged that it leaves", time.Duration(served)*tickInterval)
+			}
+			t.Logf("%d of %d daemons knew", len(killed), len(n.nodes))
+		})
+	}
+}
