Restarted daemons read the store before they use a numbered upstream, or need three sources

Cause: a peer that has been running for 10 s counted as one that would know of every departure. It knows only of those that it was told, by a connection or by gossip that a restart of the daemons between cuts off; the record of the next incarnation then replaces the one with the departures. With a false health check it was enough.

Change: two sources suffice only if one is the store, which holds what was acknowledged while it could be reached. Without it three are required: peers, health check, a second announcement, a third over 1.5 s, a fifth over 3 s. So a start costs one read of a small topic where a numbered upstream announces itself; peers and health check do not save it any more.

The test of sources said that any two suffice, which was wrong; its replacement plays all sets in all orders.

--- a/internal/system/candidate.go
+++ b/internal/system/candidate.go
@@ -26,16 +26,21 @@
 
 const (
 	// requiredSources is how many independent sources must agree that a candidate has not
-	// left. Each of them may be missing or wrong while a failure lasts.
-	requiredSources = 2
+	// left, if the store is one of them, which holds each departure that was acknowledged while
+	// it was reachable. requiredWithoutStore is how many if it cannot be read: a peer was told
+	// only if it was connected. Each source may be missing or wrong while a failure lasts.
+	requiredSources      = 2
+	requiredWithoutStore = 3
 	// minAnnouncementGap is the shortest time between announcements that count as two:
 	// those that were held up together arrive together.
 	minAnnouncementGap = 400 * time.Millisecond
 	// An upstream that has announced itself steadyAnnouncements times over steadyTime counts as
-	// two sources, unless it says that it is not healthy: several delayed announcements are
-	// unlikely to arrive in such intervals.
+	// two sources, and as three after longAnnouncements over longTime, unless it says that it is
+	// not healthy: several delayed announcements are unlikely to arrive in such intervals.
 	steadyAnnouncements = 3
 	steadyTime          = 1500 * time.Millisecond
+	longAnnouncements   = 5
+	longTime            = 3 * time.Second
 	// healthCheckInterval is the interval of the health checks of a candidate.
 	healthCheckInterval = 500 * time.Millisecond
 )
@@ -88,7 +93,11 @@
 // as long as Params.AnnouncementDelay; until then others have to confirm that the upstream did
 // not leave before.
 func hasNotLeft(w *table.World, now time.Time, c *table.Candidate) bool {
-	return c.Remembered || c.LastAt.Sub(w.Started) >= w.Params.AnnouncementDelay || confirmingSources(w, now, c) >= requiredSources
+	required := requiredWithoutStore
+	if w.Memory.StoreRead {
+		required = requiredSources
+	}
+	return c.Remembered || c.LastAt.Sub(w.Started) >= w.Params.AnnouncementDelay || confirmingSources(w, now, c) >= required
 }
 
 // confirmingSources returns how many sources say that the candidate has not left.
@@ -107,7 +116,13 @@
 	if c.Count >= 2 && announced >= minAnnouncementGap {
 		n++
 	}
-	if c.Count >= steadyAnnouncements && announced >= steadyTime && (c.Healthy || !c.Answered) {
+	if c.Answered && !c.Healthy {
+		return n
+	}
+	if c.Count >= steadyAnnouncements && announced >= steadyTime {
+		n++
+	}
+	if c.Count >= longAnnouncements && announced >= longTime {
 		n++
 	}
 	return n
--- a/internal/system/candidate_test.go
+++ b/internal/system/candidate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,31 +55,32 @@
 	return w, tick
 }
 
-// TestRestartedDaemonUsesAnUpstreamOnceTwoSourcesAgree guards against a restarted daemon that uses
-// an upstream because of one source, which may be wrong, and against one that goes without its upstream
-// although two agree.
-func TestRestartedDaemonUsesAnUpstreamOnceTwoSourcesAgree(t *testing.T) {
-	for first, confirm := range sources {
-		t.Run(first, func(t *testing.T) {
+// TestRestartedDaemonUsesAnUpstreamOnceEnoughSourcesAgree guards against a restarted daemon that uses
+// an upstream because of sources that may be wrong together, and against one that goes without its
+// upstream although enough agree. It plays all sets of sources, in all orders.
+func TestRestartedDaemonUsesAnUpstreamOnceEnoughSourcesAgree(t *testing.T) {
+	var play func(agreed []string)
+	play = func(agreed []string) {
+		t.Run(strings.Join(agreed, ", "), func(t *testing.T) {
 			is := is.New(t)
 			w, tick := restartedWorld()
 			is.Equal(len(w.Locals), 0) // one announcement is none
-			confirm(tick)
-			is.Equal(len(w.Locals), 0) // one source does not suffice
+			for _, name := range agreed {
+				sources[name](tick)
+			}
+			required := 3 // a peer may never have been told, and health checks may be false
+			if slices.Contains(agreed, "store") {
+				required = 2
+			}
+			is.Equal(len(w.Locals) == 1, len(agreed) >= required)
 		})
-		for second, agree := range sources {
-			if first == second {
-				continue
+		for name := range sources {
+			if !slices.Contains(agreed, name) {
+				play(append(slices.Clone(agreed), name))
 			}
-			t.Run(first+" and "+second, func(t *testing.T) {
-				is := is.New(t)
-				w, tick := restartedWorld()
-				confirm(tick)
-				agree(tick)
-				is.Equal(len(w.Locals), 1)
-			})
 		}
 	}
+	play(nil)
 }
 
 // TestDepartureThatIsRememberedOutweighsAllElse guards against calls to an upstream that has left:
--- a/internal/system/departurestore.go
+++ b/internal/system/departurestore.go
@@ -65,11 +65,10 @@
 	out.ReadDepartures = true
 }
 
-// readStoredDepartures asks the store if the candidate waits for a confirmation that the store
-// can give. Peers and a health check cost nothing at the store.
+// readStoredDepartures asks the store if the candidate waits for a confirmation. The peers of this
+// daemon may all be others than those that its earlier incarnation has told.
 func readStoredDepartures(w *table.World, now time.Time, c *table.Candidate, out *Outbox) {
-	enough := peersRemember(w, now) && healthPath(w, c) != ""
-	if !w.Memory.StoreRead && !enough && !hasNotLeft(w, now, c) {
+	if !w.Memory.StoreRead && !hasNotLeft(w, now, c) {
 		requestStoredDepartures(w, now, out)
 	}
 }
