Acknowledge a leaving without the store only if the store is known to fail

Callers could see requests at an upstream that had left: with a store that takes longer than 0.3 s, another daemon sufficed as holder, and if both ended at once nobody knew.

Cause: a store that is slow was taken for one that is missing.

Change: another daemon alone suffices only once a call to the store has failed since the departure was added. Before, the answer is 503 after 0.8 s and the upstream says it again.

Evidence: TestDepartureIsHeldWhereItCanBe, extended by a slow store, fails on the code before.

--- a/internal/agent/departures.go
+++ b/internal/agent/departures.go
@@ -54,6 +54,7 @@
 	for a.ctx.Err() == nil {
 		rec := a.departuresToStore.Load()
 		if err := a.writeDepartures(rec.List); err != nil {
+			a.input(system.DeparturesStored{Seq: rec.Seq, Failed: true})
 			sleep(a.ctx, publishRetryDelay/2+rand.N(publishRetryDelay))
 			continue
 		}
--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -63,8 +63,8 @@
 	// departureTimeout is how long an upstream that leaves waits for others to know of it.
 	// Upstreams wait a second for the answer.
 	departureTimeout = 800 * time.Millisecond
-	// secondHolderTimeout is how long it waits for both another daemon and the store. Both are
-	// of use if all daemons end right after the answer.
+	// secondHolderTimeout is how long it waits for both another daemon and the store, if one of
+	// them is missing.
 	secondHolderTimeout = 300 * time.Millisecond
 )
 
--- a/internal/system/candidate_test.go
+++ b/internal/system/candidate_test.go
@@ -134,6 +134,8 @@
 	held := func() [2]bool { return [2]bool{DeparturesHeld(w, 7, false), DeparturesHeld(w, 7, true)} }
 	is.Equal(held(), [2]bool{false, false})
 	w.Links[1].TakesDepartures = false
+	is.Equal(held(), [2]bool{false, false}) // the store may still hold it
+	tick(0, DeparturesStored{Seq: 7, Failed: true})
 	is.Equal(held(), [2]bool{false, true})
 	delete(w.Links, 1)
 	is.Equal(held(), [2]bool{false, true}) // alone
@@ -143,6 +145,8 @@
 	is.Equal(held(), [2]bool{false, true})
 	w.Memory.HeldByPeer = 7
 	is.Equal(held(), [2]bool{true, true})
+	w.Memory.HeldByStore, w.Memory.StoreFailed = 6, false
+	is.Equal(held(), [2]bool{false, false}) // the store is slow, and both daemons may end
 }
 
 // TestDeparturesAreBounded guards against a daemon whose record grows with each DELETE that somebody
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -100,12 +100,13 @@
 
 // DeparturesHeld reports whether a departure that was added to this daemon's record at the given
 // revision survives this daemon: another daemon and the store hold it or, if one suffices,
-// either of them. If no other daemon can hold it, as there is none or all connected ones are of
+// either of them. Another daemon suffices only if the store is known to fail, as both may restart
+// together. If no other daemon can hold it, as there is none or all connected ones are of
 // builds that do not remember departures, it counts as held by another daemon.
 func DeparturesHeld(w *table.World, seq uint64, oneSuffices bool) bool {
 	peer := w.Memory.HeldByPeer >= seq || !peersCanHold(w)
 	stored := w.Memory.HeldByStore >= seq
-	return peer && stored || oneSuffices && (peer || stored)
+	return peer && stored || oneSuffices && (stored || peer && w.Memory.StoreFailed)
 }
 
 // peersCanHold reports whether another daemon can hold this daemon's departures, now or once it is
--- a/internal/system/departurestore.go
+++ b/internal/system/departurestore.go
@@ -17,8 +17,13 @@
 	List []wire.Departure
 }
 
-// DeparturesStored reports that the store holds a DepartureRecord.
-type DeparturesStored struct{ Seq uint64 }
+// DeparturesStored is the result of a write of a DepartureRecord.
+type DeparturesStored struct {
+	// Seq is the revision of the record that was written.
+	Seq uint64
+	// Failed is set if the store did not confirm it. It is written again.
+	Failed bool
+}
 
 // DeparturesRead is the result of a read of the store's record.
 type DeparturesRead struct {
@@ -73,7 +78,15 @@
 	}
 }
 
+func receiveDeparturesStored(w *table.World, s DeparturesStored) {
+	w.Memory.StoreFailed = s.Failed
+	if !s.Failed {
+		w.Memory.HeldByStore = max(w.Memory.HeldByStore, s.Seq)
+	}
+}
+
 func receiveStoredDepartures(w *table.World, now time.Time, r DeparturesRead, out *Outbox) {
+	w.Memory.StoreFailed = r.Failed
 	if r.Failed {
 		return
 	}
--- a/internal/system/leavinghistory_test.go
+++ b/internal/system/leavinghistory_test.go
@@ -288,7 +288,8 @@
 		h := &leavingHistory{t: rt, n: n, node: n.nodes[1], backAt: map[*testNode]time.Time{}}
 		h.false = rapid.SampledFrom([]falseSource{noneFalse, peersCutOff, healthLies, healthMissing, storeDown, storeForgets, manyLate}).Draw(rt, "false")
 		h.killAllOnAck = rapid.Bool().Draw(rt, "kill all on acknowledgement")
-		n.checkHealth, n.storeDelay = h.health, 60*time.Millisecond
+		n.checkHealth = h.health
+		n.storeDelay = rapid.SampledFrom([]time.Duration{60 * time.Millisecond, 2 * secondHolderTime}).Draw(rt, "store delay")
 		n.storeUnreachable[h.node.domain] = h.false == storeDown
 		n.adjustParams = func(p *table.Params) { p.UpstreamLapse = numberedLapse }
 		for _, node := range n.nodes {
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -240,7 +240,7 @@
 	case DeparturesRead:
 		receiveStoredDepartures(w, now, v, out)
 	case DeparturesStored:
-		w.Memory.HeldByStore = max(w.Memory.HeldByStore, v.Seq)
+		receiveDeparturesStored(w, v)
 	case StoreEpoch:
 		receiveStoreEpoch(w, now, v, out)
 	case SeedsFound:
--- a/internal/system/testnet_test.go
+++ b/internal/system/testnet_test.go
@@ -314,7 +314,9 @@
 // serveDepartures carries out the requests of a tick to the store's records of departures.
 func (n *testNet) serveDepartures(node *testNode, out Outbox) {
 	reachable := !n.storeUnreachable[node.domain]
-	if r := out.StoreDepartures; r != nil && reachable {
+	if r := out.StoreDepartures; r != nil && !reachable {
+		node.inputs = append(node.inputs, DeparturesStored{Seq: r.Seq, Failed: true})
+	} else if r != nil {
 		n.departureWrites = append(n.departureWrites, departureWrite{n.now.Add(n.storeDelay), node, node.incarnation, *r})
 	}
 	n.departureWrites = slices.DeleteFunc(n.departureWrites, func(d departureWrite) bool {
--- a/internal/system/upstream.go
+++ b/internal/system/upstream.go
@@ -191,7 +191,7 @@
 	w.Self.Upstreams, w.Self.Departures = ups, departures
 	touchSelf(w)
 	if added {
-		w.Memory.Changed = w.Self.Seq
+		w.Memory.Changed, w.Memory.StoreFailed = w.Self.Seq, false
 	}
 	compareStored(w)
 }
--- a/internal/table/upstream.go
+++ b/internal/table/upstream.go
@@ -61,6 +61,9 @@
 	// told of a change.
 	Stored   []wire.Departure
 	Unstored bool
+	// StoreFailed is set if the last call that reads or writes them has failed since a departure
+	// was last added. A call that takes long has not.
+	StoreFailed bool
 	// OldestPeer is when the peer that had been running for longest when it last reported its
 	// memory of this daemon was started; zero: none has reported.
 	OldestPeer time.Time
