Test of control bytes waits for the count of what was sent

A write is counted after it returns, which may be after its answer has arrived; the test waited for that only where it compares two counts, and not in the failure domain of its own, where it wants a count above zero.

--- a/internal/peer/crossdomain_test.go
+++ b/internal/peer/crossdomain_test.go
@@ -74,7 +74,10 @@
 			return dials.count("control.bytes_in") + dials.count("control.bytes_out")
 		}
 		// A write is counted after it returns, which may be after the answer has arrived.
-		for deadline := time.Now().Add(5 * time.Second); dials.count("cross_domain.bytes.control") != want() && time.Now().Before(deadline); {
+		counted := func() bool {
+			return dials.count("control.bytes_out") > 0 && dials.count("cross_domain.bytes.control") == want()
+		}
+		for deadline := time.Now().Add(5 * time.Second); !counted() && time.Now().Before(deadline); {
 			time.Sleep(time.Millisecond)
 		}
 		is.Equal(dials.count("cross_domain.bytes.control"), want())
