Control messages of peers have a bound

A peer's message without end, or one whose few compressed bytes stand for gigabytes, was read into memory until the daemon died. It is now rejected from 64 MiB on, and the connection is closed.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"net"
 	"sync"
 
@@ -27,15 +28,38 @@
 	// dict holds the last dictBytes bytes sent, uncompressed. It is the dictionary for
 	// compressing the next message.
 	dict []byte
-	dec  *json.Decoder
+	// limit bounds what dec reads.
+	limit *messageReader
+	dec   *json.Decoder
 }
 
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
 func newStream(c net.Conn) *stream {
-	return &stream{
-		conn: c, buf: bufio.NewWriter(c), dec: json.NewDecoder(flate.NewReader(bufio.NewReader(c))),
+	limit := &messageReader{Reader: flate.NewReader(bufio.NewReader(c))}
+	return &stream{conn: c, buf: bufio.NewWriter(c), limit: limit, dec: json.NewDecoder(limit)}
+}
+
+// maxMessageBytes bounds one message, uncompressed: a few compressed bytes can stand for any
+// number. Snapshots of thousands of daemons have a few MiB.
+const maxMessageBytes = 64 << 20
+
+var errMessageTooLong = errors.New("control message is too long")
+
+// messageReader returns errMessageTooLong once left bytes have been read.
+type messageReader struct {
+	io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errMessageTooLong
 	}
+	n, err := r.Reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -66,7 +90,10 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
-func (s *stream) ReadObject(v any) error { return s.dec.Decode(v) }
+func (s *stream) ReadObject(v any) error {
+	s.limit.left = maxMessageBytes
+	return s.dec.Decode(v)
+}
 
 // Close implements jsonrpc2.ObjectStream.
 func (s *stream) Close() error { return s.conn.Close() }
