Responses of upstreams have bounds on heads, bodies and what precedes them

Cause: the head was read from the bare connection, a chunked response to another request was skipped to its end, and a body was passed on without limit.

Over it the connection is closed and the attempt ends as broken, at once.

Requests to the administration API are bounded too.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,6 +18,9 @@
 	"github.com/comfreygate/comfreygate/internal/suspect"
 )
 
+// maxRequestBytes bounds the body of a request.
+const maxRequestBytes = 16 << 20
+
 // NewHandler returns the API's handler. An empty token disables authentication, which is
 // safe on a loopback address only.
 func NewHandler(a *agent.Agent, token string) (http.Handler, error) {
@@ -27,7 +30,7 @@
 		return nil, errors.Wrap(err, "administration API")
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", srv)
+	mux.Handle("/v1/", http.MaxBytesHandler(srv, maxRequestBytes))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(a.Metrics(), w)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -189,6 +189,8 @@
 		QueueFactor:      s.Calls.QueueFactor,
 		ConnectTimeout:   time.Duration(s.Calls.ConnectTimeout),
 		IdleTimeout:      time.Duration(s.Calls.UpstreamIdle),
+		MaxHeader:        int64(s.Calls.MaxHeader),
+		MaxResponse:      s.Calls.MaxResponse,
 		LinkMbps:         s.Calls.LinkMbps,
 		Suspects:         a.suspects,
 		LimitCoordinator: limiter,
--- a/internal/callpath/buffer.go
+++ b/internal/callpath/buffer.go
@@ -1,7 +1,6 @@
 package callpath
 
 import (
-	"bytes"
 	"context"
 	"io"
 
@@ -19,8 +18,8 @@
 // A truncated response becomes an unknown outcome. The returned size is the number of
 // bytes read.
 func bufferAnswer(ctx context.Context, r outcome.Result) (outcome.Result, int) {
-	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(r.Body, maxBufferedAnswer))
+	var buf blockBuffer
+	n, err := buf.ReadFrom(io.LimitReader(r.Body, maxBufferedAnswer))
 	if err == nil && n == maxBufferedAnswer {
 		r.Body = &partlyRead{Reader: io.MultiReader(&buf, r.Body), Closer: r.Body}
 		return r, int(n)
--- a/internal/callpath/deferredbody_test.go
+++ b/internal/callpath/deferredbody_test.go
@@ -41,7 +41,7 @@
 			n, _ := io.Copy(io.Discard, r.Body)
 			got.Store(n)
 		}))
-		p := newPool(&net.Dialer{}, srv.Listener.Addr().String(), 0, time.Minute, Dialect{})
+		p := newPool(&net.Dialer{}, srv.Listener.Addr().String(), 0, time.Minute, Dialect{}, responseLimits{})
 		conn, err := net.Dial("tcp", p.addr)
 		is.NoErr(err)
 		var sent atomic.Int64
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -37,6 +37,9 @@
 	// shorter than the upstream's own idle timeout, so that a connection is never reused
 	// while the upstream is closing it.
 	IdleTimeout time.Duration
+	// MaxHeader and MaxResponse bound the headers and the body of an upstream's response, in
+	// bytes; zero: unlimited.
+	MaxHeader, MaxResponse int64
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; zero means unlimited.
 	LinkMbps float64
 	// Suspects is the daemon's table of suspects, shared with the ingress. If nil, the
@@ -204,7 +207,8 @@
 	loc := &localUpstream{
 		gate: gate, limit: ratelimit.New(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
 		runs: runs.New(o.cfg.Now, func(c runs.Change) { o.logRunsLimit(l.ID, c) }),
-		pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect),
+		pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect,
+			responseLimits{head: o.cfg.MaxHeader, body: o.cfg.MaxResponse}),
 	}
 	o.upstreams[l.ID] = loc
 	if previous == nil {
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -28,6 +28,7 @@
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout time.Duration
 	dialect     Dialect
+	limits      responseLimits
 	// unackedTimeout limits how long sent bytes may stay unacknowledged; zero means the
 	// system's default, which is minutes.
 	unackedTimeout time.Duration
@@ -59,9 +60,11 @@
 	counted *crossdomain.Conn
 	// compressed is the compressed connection over Conn, or nil.
 	compressed *compress.Dialed
-	br         *bufio.Reader
-	bw         *bufio.Writer
-	idleSince  time.Time
+	// head bounds what br reads from the connection.
+	head      *headReader
+	br        *bufio.Reader
+	bw        *bufio.Writer
+	idleSince time.Time
 	// notReusable is set once the connection must not be reused. Only the goroutine that
 	// holds the connection accesses it.
 	notReusable bool
@@ -106,8 +109,8 @@
 
 // newPool returns a pool that opens at most maxConns connections, or any number if
 // maxConns is 0.
-func newPool(dialer *net.Dialer, addr string, maxConns int, idleTimeout time.Duration, dialect Dialect) *pool {
-	p := &pool{dialer: dialer, addr: addr, idleTimeout: idleTimeout, dialect: dialect, createdAt: time.Now()}
+func newPool(dialer *net.Dialer, addr string, maxConns int, idleTimeout time.Duration, dialect Dialect, limits responseLimits) *pool {
+	p := &pool{dialer: dialer, addr: addr, idleTimeout: idleTimeout, dialect: dialect, limits: limits, createdAt: time.Now()}
 	if maxConns > 0 {
 		p.tokens = make(chan struct{}, maxConns)
 	}
@@ -191,8 +194,10 @@
 // receive reads the head of the response to the request. A deferred body is sent when the
 // other end responds with 100 Continue.
 func (c *clientConn) receive(req *http.Request, body *deferredBody) (*http.Response, error) {
+	c.head.left = c.pool.limits.head
+	foreignLeft := int64(maxForeignBytes)
 	for {
-		res, err := http.ReadResponse(c.br, req)
+		res, err := c.readHead(req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
@@ -204,27 +209,40 @@
 			continue
 		}
 		if !c.pool.dialect.foreign(req, res) {
-			return res, nil
+			return res, errors.Wrap(c.pool.limits.limitBody(res), "read response")
 		}
-		if err := c.skipForeign(res); err != nil {
+		skipped, err := c.skipForeign(res, foreignLeft)
+		if err != nil {
 			return nil, err
 		}
+		foreignLeft -= skipped
 	}
 }
 
-// maxForeignBytes is the largest body, in bytes, of a response to another request that is
-// read and discarded.
+// readHead reads the head of a response.
+func (c *clientConn) readHead(req *http.Request) (*http.Response, error) {
+	c.head.limited = c.pool.limits.head > 0
+	defer func() { c.head.limited = false }()
+	return http.ReadResponse(c.br, req)
+}
+
+// maxForeignBytes bounds the bodies, in bytes, of the responses to other requests that are read and
+// discarded before the response to a request.
 const maxForeignBytes = 1 << 20
 
 // skipForeign discards a response that belongs to an earlier request: the response to
-// this request follows it, and this request may already be running.
-func (c *clientConn) skipForeign(res *http.Response) error {
+// this request follows it, and this request may already be running. It returns the size of the
+// body, which must be at most limit.
+func (c *clientConn) skipForeign(res *http.Response, limit int64) (int64, error) {
 	c.notReusable = true
-	if res.Close || res.ContentLength > maxForeignBytes {
-		return errors.New("cannot skip response to another request: it is too long or closes the connection")
+	if res.Close || res.ContentLength > limit {
+		return 0, errors.New("cannot skip response to another request: it is too long or closes the connection")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, limit+1))
+	if err == nil && n > limit {
+		err = errBodyTooLong
 	}
-	_, err := io.Copy(io.Discard, res.Body)
-	return errors.Wrap(err, "skip response to another request")
+	return n, errors.Wrap(err, "skip response to another request")
 }
 
 // get returns an idle connection that is still open, or a new one.
@@ -266,7 +284,8 @@
 		c.compressed = compress.Conn(stream, p.compressed)
 		stream = c.compressed
 	}
-	c.br, c.bw = bufio.NewReader(stream), bufio.NewWriter(stream)
+	c.head = &headReader{Reader: stream}
+	c.br, c.bw = bufio.NewReader(c.head), bufio.NewWriter(stream)
 	return c
 }
 
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -31,6 +31,9 @@
 	// to it would wait until their deadline. Narrow links under load hold packets for half a
 	// second.
 	ownerAckTimeout = time.Second
+	// maxOwnerHeadBytes bounds the head of an owner's response. It has the headers of the
+	// upstream's response, which the owner bounds.
+	maxOwnerHeadBytes = 16 << 20
 	// maxOwnerPools is the maximum number of owners to which connections are kept.
 	maxOwnerPools = 2048
 )
@@ -107,7 +110,7 @@
 	if len(r.owners) >= maxOwnerPools {
 		r.evictPool()
 	}
-	p = newPool(r.dialer, owner, 0, ownerIdleTimeout, Dialect{})
+	p = newPool(r.dialer, owner, 0, ownerIdleTimeout, Dialect{}, responseLimits{head: maxOwnerHeadBytes})
 	p.unackedTimeout = ownerAckTimeout
 	p.crossDomain = r.crossDomain
 	p.compressed = r.compressed
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -164,6 +164,8 @@
 		return &invalidSetting{"control.snapshots_per_second", "must be at least 1"}
 	case s.Calls.MaxBody < 0 || s.Calls.MaxHeader < 1024:
 		return &invalidSetting{"calls.max_header", "calls.max_body must be at least 0 and calls.max_header at least 1024"}
+	case s.Calls.MaxResponse < 0:
+		return &invalidSetting{"calls.max_response", "must be at least 0"}
 	case s.Calls.QueueFactor < 0 || s.Calls.QueueFactor > 100:
 		return &invalidSetting{"calls.queue_factor", "must be between 0 and 100"}
 	case s.Calls.RetryRatio < 0 || s.Calls.RetryRatio > 1:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -181,8 +181,12 @@
 type Calls struct {
 	// MaxBody bounds a request's body, in bytes. Default: 1048576.
 	MaxBody int64 `yaml:"max_body"`
-	// MaxHeader bounds a request's headers, in bytes. Default: 65536.
+	// MaxHeader bounds the headers of a request and of an upstream's response, in bytes.
+	// Default: 65536.
 	MaxHeader int `yaml:"max_header"`
+	// MaxResponse bounds the body of an upstream's response, in bytes; zero: unlimited.
+	// Default: 1073741824.
+	MaxResponse int64 `yaml:"max_response"`
 	// QueueFactor is the length of an upstream's queue as a multiple of its slots.
 	// Default: 1.
 	QueueFactor float64 `yaml:"queue_factor"`
@@ -273,7 +277,7 @@
 			SnapshotsPerSecond: p.SnapshotsPerSecond,
 		},
 		Calls: Calls{
-			MaxBody: 1 << 20, MaxHeader: 1 << 16, QueueFactor: 1,
+			MaxBody: 1 << 20, MaxHeader: 1 << 16, MaxResponse: 1 << 30, QueueFactor: 1,
 			ConnectTimeout: Duration(500 * time.Millisecond), UpstreamIdle: Duration(20 * time.Second),
 			InquireAfter: Duration(time.Second), RetryRatio: 0.1, RetryBurst: 50, CrossDomainCost: 40, LoadControl: config.LoadControlAuto, Compress: config.CompressionAuto,
 			Drain: Duration(2500 * time.Millisecond),
--- a/itest/cmd/upstreamd/main.go
+++ b/itest/cmd/upstreamd/main.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -120,7 +121,7 @@
 // parameters: delay_ms adds a delay; answer_bytes extends the answer to that length by
 // repetitions of the line with the request ID; crash_ms crashes the upstream after that time; cut
 // closes the connection in the middle of the response, which has no Content-Length if the
-// value is "chunked".
+// value is "chunked"; endless sends a response that has no end, see endlessResponses.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/.delay" {
 		ms, _ := strconv.ParseInt(r.URL.Query().Get("ms"), 10, 64)
@@ -174,6 +175,10 @@
 	if u.draining.Load() {
 		w.Header().Set("Comfrey-Draining", "1")
 	}
+	if r.URL.Query().Has("endless") {
+		sendWithoutEnd(w, r.URL.Query().Get("endless"))
+		return
+	}
 	if r.URL.Query().Has("cut") {
 		w.Write(response[:len(response)/2])
 		http.NewResponseController(w).Flush()
@@ -182,6 +187,28 @@
 	w.Write(response)
 }
 
+// endlessResponses are the beginnings of responses without end, and what follows over and over.
+var endlessResponses = map[string][2]string{
+	"header":  {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+	"headers": {"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+	"interim": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"body":    {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+}
+
+// sendWithoutEnd sends a response of the given kind until the connection is closed.
+func sendWithoutEnd(w http.ResponseWriter, kind string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	beginning, repeated := endlessResponses[kind][0], endlessResponses[kind][1]
+	_, err = io.WriteString(conn, beginning)
+	for block := strings.Repeat(repeated, 1000); err == nil; {
+		_, err = io.WriteString(conn, block)
+	}
+}
+
 // crash ends this incarnation of the upstream. Concurrent crashes count as one.
 func (u *upstream) crash() {
 	select {
--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -165,7 +165,7 @@
   upstream_lapse: 1s
   grace: 1s
   probe: %[9]s
-calls: {drain: 500ms, connect_timeout: 300ms, inquire_after: 300ms, link_mbps: %[10]v}
+calls: {drain: 500ms, connect_timeout: 300ms, inquire_after: 300ms, link_mbps: %[10]v, max_response: 16777216}
 %[8]s
 `
 
@@ -253,6 +253,9 @@
 // Stop stops the daemon gracefully and returns its exit code.
 func (v *VM) Stop() int { return v.proc.stop() }
 
+// PeakMemory returns the most memory, in bytes, that the daemon's process has had resident.
+func (v *VM) PeakMemory() int64 { return v.proc.peakMemory() }
+
 // Pause freezes the daemon until Resume.
 func (v *VM) Pause() { v.proc.signal(syscall.SIGSTOP) }
 
--- a/itest/harness/process.go
+++ b/itest/harness/process.go
@@ -119,6 +119,21 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// peakMemory returns the most memory, in bytes, that the process has had resident.
+func (p *process) peakMemory() int64 {
+	p.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	var kib int64
+	if _, err := fmt.Sscan(peak, &kib); err != nil {
+		p.t.Fatal(err)
+	}
+	return kib << 10
+}
+
 // awaitLine waits for a line of output that contains text, and returns the line.
 func (p *process) awaitLine(text string) string {
 	var found string
