header_timeout_ms and idle_timeout_ms of the configuration are in force

Cause: the two were read, checked and never used; the server's own limits are fixed at its start.

Change: connections of callers replace the server's deadlines by those of the configuration in force. The time of a header runs from its first byte, so that a new connection which has sent nothing counts as idle. Without limits in the configuration nothing changes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -313,7 +313,7 @@
 	a.spawn(a.loop)
 	a.spawn(a.watchSuspects)
 	a.spawn(func() { a.transport.Serve(a.listeners.peers) })
-	a.serve(a.listeners.callers, a.ingress)
+	a.serve(a.ingress.Listener(a.listeners.callers), a.ingress)
 	a.serve(compress.Listener(a.listeners.owner), a.owner)
 	a.serve(a.listeners.admin, admin)
 	a.serve(a.listeners.local, a.localHandler())
@@ -330,7 +330,8 @@
 }
 
 const (
-	// readHeaderTimeout bounds the reading of a request's headers.
+	// readHeaderTimeout bounds the reading of a request's headers. For callers the configuration
+	// may set another time.
 	readHeaderTimeout = 10 * time.Second
 	// serverIdleTimeout is how long an idle connection is kept open. It is longer than the idle
 	// timeout of the daemons' own clients, so that the client side closes first.
@@ -340,7 +341,7 @@
 func (a *Agent) serve(ln net.Listener, h http.Handler) {
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
-		MaxHeaderBytes: a.settings.Calls.MaxHeader, ConnContext: callpath.WithConn,
+		MaxHeaderBytes: a.settings.Calls.MaxHeader, ConnContext: callpath.WithConn, ConnState: a.ingress.ConnState,
 	}
 	a.servers = append(a.servers, srv)
 	a.spawn(func() {
