A refund of a limit is counted once

A workspace could get more calls than its limit: calls that were granted and did not run are given back with the next report, and if that report got no reply, though the coordinator had received it, they were given back again with the one after it (suspected by the review, not seen). Counts of admitted calls are still put back, since counted twice they keep within the limit; refunds are not. TestRefundIsCountedOnce failed before: 8 calls granted for 4 that had been given back.

--- a/internal/quota/locallimiter.go
+++ b/internal/quota/locallimiter.go
@@ -226,12 +226,15 @@
 }
 
 // Restore puts back the counts of a report that got no reply. If the coordinator did
-// receive it, the calls are counted twice, which keeps them within the limit.
+// receive it, the calls are counted twice, which keeps them within the limit. Calls that were
+// given back are not put back: counted twice, they would exceed it.
 func (l *LocalLimiter) Restore(r Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, n := range r.Used {
-		l.used[name] += n
+		if n > 0 {
+			l.used[name] += n
+		}
 	}
 }
 
