A leaving of an unknown upstream without its start shuts out no later one

An upstream could get no calls for two minutes: a process that its daemon did not know said by DELETE that it leaves, without its start, and the next process has the same ID (suspected by the review, not seen). The daemon took every start for one that has left. Now it takes those before the DELETE. TestLaterStartOfAnUnknownUpstreamIsUsed failed before.

--- a/internal/system/candidate_test.go
+++ b/internal/system/candidate_test.go
@@ -195,3 +195,23 @@
 	Tick(w, now, nil)
 	is.True(reported() < time.Second.Milliseconds())
 }
+
+// TestLaterStartOfAnUnknownUpstreamIsUsed guards against an upstream that gets no calls for minutes: a
+// process that the daemon did not know said that it leaves, without its start, and the next process
+// has the same ID.
+func TestLaterStartOfAnUnknownUpstreamIsUsed(t *testing.T) {
+	is := is.New(t)
+	w := documentWorld()
+	now := w.Started.Add(w.Params.AnnouncementDelay)
+	announced := func(startedMs int64) Announced {
+		a := numbered(1)
+		a.Local.ID, a.Local.Incarnation, a.Local.StartedMs = fmt.Sprintf("vm/up@%d", startedMs), fmt.Sprint(startedMs), startedMs
+		return a
+	}
+	Tick(w, now, []Input{Removed{Name: "vm/up"}})
+	now = now.Add(time.Second)
+	Tick(w, now, []Input{announced(now.UnixMilli() - 2000)}) // late, from before
+	is.Equal(len(w.Locals), 0)
+	Tick(w, now, []Input{announced(now.UnixMilli() - 500)})
+	is.Equal(len(w.Locals), 1)
+}
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -1,7 +1,6 @@
 package system
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -34,7 +33,7 @@
 		}
 	}
 	if _, known := w.Departed[r.Name]; startedMs == 0 && !known {
-		startedMs = math.MaxInt64 // incarnation unknown: ignore announcements of any
+		startedMs = now.UnixMilli() // incarnation unknown: ignore announcements of any until now
 	}
 	recordDeparture(w, now, r.Name, startedMs)
 	publishLocals(w)
