A daemon whose clock was set back is believed

Callers on other VMs could not reach the upstreams beside such a daemon, until its clock had caught up: its earlier incarnation was started while the clock was ahead, so that the records of the new one were older, and others ignored them. They acknowledged the departures in them all the same (suspected by the review, not seen).

Now a daemon that meets a later record of itself within 10 s of its start takes an incarnation later still, once; afterwards, or a second time, such a record means another daemon under its name, and raises the alarm as before. The owner knows its attempts under both. A record that was ignored is not acknowledged.

--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -78,7 +78,7 @@
 	switch {
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
-	case q.Incarnation != o.cfg.Incarnation:
+	case !o.isOwnIncarnation(q.Incarnation):
 		http.Error(w, "another incarnation", http.StatusConflict)
 	default:
 		w.Header().Set("Content-Type", "application/json")
@@ -88,6 +88,12 @@
 	}
 }
 
+// isOwnIncarnation reports whether an incarnation is that of this process. One that was raised is known
+// under both.
+func (o *Owner) isOwnIncarnation(incarnation uint64) bool {
+	return incarnation == o.cfg.Incarnation || incarnation == o.view.Load().Incarnation
+}
+
 func (o *Owner) serveAttempt(w http.ResponseWriter, r *http.Request) {
 	observeClock(r.Header, o.cfg.Events)
 	a, err := parseAttempt(r, o.cfg.Now())
@@ -100,7 +106,7 @@
 	if a.Nested {
 		a.WaitFraction = o.cfg.Dialect.waitFraction(a.Request)
 	}
-	if a.Incarnation != o.cfg.Incarnation {
+	if !o.isOwnIncarnation(a.Incarnation) {
 		o.writeResult(w, outcome.Refuse(outcome.ReasonUpstreamRemoved, 0))
 		return
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,6 +54,7 @@
 	UpstreamRemoved  Kind = "upstream-gone"
 	AnnouncedLate    Kind = "announced-late"
 	UpstreamPending  Kind = "upstream-pending"
+	NewIncarnation   Kind = "incarnation-raised"
 	MemberUp         Kind = "member-up"
 	MemberLapsed     Kind = "member-lapsed"
 	CallRefused      Kind = "call-refused"
--- a/internal/system/departures.go
+++ b/internal/system/departures.go
@@ -131,9 +131,12 @@
 // contains departures.
 func acknowledgeRecord(w *table.World, from table.LinkID, rec wire.Member, out *Outbox) {
 	l, row := w.Links[from], w.Members[rec.ID]
-	if l == nil || l.Peer != rec.ID || !l.TakesDepartures || len(rec.Departures) == 0 || row == nil || rec.Newer(row.Member) {
+	if l == nil || l.Peer != rec.ID || !l.TakesDepartures || len(rec.Departures) == 0 {
 		return
 	}
+	if row == nil || row.Incarnation != rec.Incarnation || rec.Newer(row.Member) {
+		return // the record was ignored
+	}
 	out.send(from, wire.DeparturesHeld{Incarnation: rec.Incarnation, Seq: rec.Seq})
 }
 
--- a/internal/system/member.go
+++ b/internal/system/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"iter"
 	"time"
 
@@ -38,7 +39,7 @@
 
 func mergeMember(w *table.World, now time.Time, from table.LinkID, rec wire.Member, out *Outbox) {
 	if rec.ID == w.Self.ID {
-		mergeSelf(w, rec, out)
+		mergeSelf(w, now, rec, out)
 		return
 	}
 	renewedAt := now.Add(-time.Duration(rec.AgeMs) * time.Millisecond)
@@ -96,15 +97,31 @@
 
 // mergeSelf handles a copy of this daemon's own record. A copy from an earlier
 // incarnation shows which version that incarnation had in force.
-func mergeSelf(w *table.World, rec wire.Member, out *Outbox) {
-	if rec.Incarnation < w.Self.Incarnation {
+func mergeSelf(w *table.World, now time.Time, rec wire.Member, out *Outbox) {
+	switch {
+	case rec.Incarnation < w.Self.Incarnation:
 		w.Config.Floor = max(w.Config.Floor, rec.Heartbeat.Applied)
-	}
-	if rec.Incarnation > w.Self.Incarnation {
+	case rec.Incarnation == w.Self.Incarnation:
+	case !w.IncarnationRaised && now.Sub(w.Started) < raiseIncarnationTime:
+		w.Config.Floor = max(w.Config.Floor, rec.Heartbeat.Applied)
+		raiseIncarnation(w, rec.Incarnation+1, out)
+	default:
 		raiseAlarm(w, AlarmDuplicate, "another daemon runs as VM "+rec.ID, out)
 	}
 }
 
+// raiseIncarnationTime is how long after its start a daemon takes a record of its own with a later
+// incarnation for one of an earlier process, which was started while the VM's clock was ahead.
+const raiseIncarnationTime = 10 * time.Second
+
+// raiseIncarnation makes this daemon's records newer than those of an earlier process. It is done once:
+// two daemons that run as one VM would replace each other's records without end.
+func raiseIncarnation(w *table.World, incarnation uint64, out *Outbox) {
+	out.event(event.Event{Kind: event.NewIncarnation, Detail: fmt.Sprintf("from %d to %d: the clock of this VM was set back since its last start, or another daemon runs as this VM", w.Self.Incarnation, incarnation)})
+	w.Self.Incarnation, w.IncarnationRaised = incarnation, true
+	touchSelf(w)
+}
+
 func mergeHeartbeat(w *table.World, now time.Time, from table.LinkID, h wire.MemberHeartbeat) {
 	row := w.Members[h.ID]
 	if row == nil || row.Incarnation != h.Incarnation || h.Seq <= row.Heartbeat.Seq {
--- a/internal/table/world.go
+++ b/internal/table/world.go
@@ -139,6 +139,8 @@
 	Departed map[string]Departure
 	// Memory is who else remembers the departures on this VM.
 	Memory DepartureMemory
+	// IncarnationRaised is set once Self.Incarnation is later than the start of this daemon.
+	IncarnationRaised bool
 	// AwakeSince is since when this daemon has run without a stall. It may have missed what
 	// others said before. LastTick and LastTickBoot are the time and the boot time of the last
 	// tick.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -63,6 +63,8 @@
 	Since time.Time
 	// Ready is set if the daemon may accept calls.
 	Ready bool
+	// Incarnation is the incarnation of this daemon that others know.
+	Incarnation uint64
 	// Leaving is set if this daemon is stopping: its upstreams accept no new calls.
 	Leaving  bool
 	Services map[string]*Service
@@ -94,6 +96,7 @@
 		Version:           state.Version,
 		Since:             w.Config.Since,
 		Ready:             w.Ready,
+		Incarnation:       w.Self.Incarnation,
 		Leaving:           w.Self.Leaving,
 		Services:          make(map[string]*Service, len(state.Content.Services)),
 		Limits:            state.Content.Limits,
