A refusal without a request ID is confirmed before an unsafe request is told as not run

Cause: upstreams may refuse without the request's ID. Additional bytes of a faulty upstream in that form, on a connection that is kept, were taken for the refusal of the next request while the upstream ran it, and it was sent again.

Change: where such a refusal comes on a connection that has carried a response before, and the request must not run again, a health check follows on the same connection. The upstream answers in order: the response to the request comes first if it is running.

--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -95,9 +95,10 @@
 
 // localUpstream is an upstream on this VM.
 type localUpstream struct {
-	gate  *admission.Gate
-	addr  string
-	conns int
+	gate    *admission.Gate
+	addr    string
+	conns   int
+	service string
 	// process names the upstream's process, or is empty.
 	process string
 	// incarnation identifies the run of the upstream.
@@ -205,7 +206,7 @@
 func (o *Owner) replaceLocal(previous *localUpstream, l table.Local) *localUpstream {
 	gate := admission.New(o.cfg.Now, l.Slots, int(float64(l.Slots)*o.cfg.QueueFactor), time.UnixMilli(l.AnnouncedAtMs))
 	loc := &localUpstream{
-		gate: gate, limit: ratelimit.New(gate.SetRate), addr: l.Addr, conns: l.Conns, process: l.Process, incarnation: l.Incarnation,
+		gate: gate, limit: ratelimit.New(gate.SetRate), addr: l.Addr, conns: l.Conns, service: l.Service, process: l.Process, incarnation: l.Incarnation,
 		runs: runs.New(o.cfg.Now, func(c runs.Change) { o.logRunsLimit(l.ID, c) }),
 		pool: newPool(&net.Dialer{Timeout: o.cfg.ConnectTimeout}, l.Addr, l.Conns, o.cfg.IdleTimeout, o.cfg.Dialect,
 			responseLimits{head: o.cfg.MaxHeader, body: o.cfg.MaxResponse}),
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -143,7 +143,7 @@
 func (o *Owner) send(ctx context.Context, loc *localUpstream, a *Attempt, began time.Time) outcome.Result {
 	res, err := loc.pool.do(ctx, o.upstreamRequest(loc, a), func(req *http.Request, connWait time.Duration) outcome.Reason {
 		return o.recheckBeforeSend(ctx, req, a, connWait)
-	})
+	}, func() string { return o.healthPathFor(loc, a) })
 	if err != nil {
 		return o.failed(ctx, loc, a, began, err)
 	}
@@ -185,6 +185,19 @@
 	}
 }
 
+// healthPathFor returns the path of the health check that confirms an ambiguous refusal of the attempt.
+// It is "" if the attempt may run again, or if the upstream answers no health checks.
+func (o *Owner) healthPathFor(loc *localUpstream, a *Attempt) string {
+	v := o.view.Load()
+	if route, ok := v.Match(a.Host, a.URL.Path); ok && route.Policy.MayRepeat(a.Method) {
+		return ""
+	}
+	if s := v.Services[loc.service]; s != nil {
+		return s.HealthPath
+	}
+	return ""
+}
+
 // failed returns the result of a request that got no response. The request is known not
 // to have run only if no connection could be opened or if it was withheld before anything
 // was sent; in all other cases it may have run.
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -65,6 +65,8 @@
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	idleSince time.Time
+	// reused is set if the connection has carried a response before.
+	reused bool
 	// notReusable is set once the connection must not be reused. Only the goroutine that
 	// holds the connection accesses it.
 	notReusable bool
@@ -119,13 +121,14 @@
 
 // do sends a request and reads the head of the response. When ctx ends, the request's
 // connection is aborted, even while the response's body is being read. The caller must
-// close the body.
-func (p *pool) do(ctx context.Context, req *http.Request, check preSendCheck) (*http.Response, error) {
-	return p.doFor(ctx, crossdomain.Uncounted, req, check)
+// close the body. A refusal that may belong to no request is confirmed by a health check at the
+// path that confirm returns.
+func (p *pool) do(ctx context.Context, req *http.Request, check preSendCheck, confirm healthPathFor) (*http.Response, error) {
+	return p.doFor(ctx, crossdomain.Uncounted, req, check, confirm)
 }
 
 // doFor is do for a request whose bytes are counted for a purpose.
-func (p *pool) doFor(ctx context.Context, purpose crossdomain.Purpose, req *http.Request, check preSendCheck) (*http.Response, error) {
+func (p *pool) doFor(ctx context.Context, purpose crossdomain.Purpose, req *http.Request, check preSendCheck, confirm healthPathFor) (*http.Response, error) {
 	began := time.Now()
 	c, err := p.get(ctx)
 	if err != nil {
@@ -140,6 +143,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	res, err := c.roundTrip(req)
+	if err == nil && c.isAmbiguous(req, res) {
+		if path := confirm(); path != "" {
+			res, err = c.confirmRefusal(req, res, path)
+		}
+	}
 	if err != nil {
 		stop()
 		c.discard()
@@ -256,6 +264,7 @@
 	}
 	for c := p.pop(); c != nil; c = p.pop() {
 		if time.Since(c.idleSince) < p.idleTimeout && tcp.StillOpen(c.Conn) {
+			c.reused = true
 			return c, nil
 		}
 		c.Close()
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -141,7 +141,7 @@
 	timer := time.AfterFunc(interval, func() { r.monitorAttempt(ctx, cancel, u, a, interval) })
 	res, err := p.doFor(ctx, r.purpose(u, a), r.ownerRequest(u, a), func(req *http.Request, waited time.Duration) outcome.Reason {
 		return setTimeHeaders(ctx, req.Header, a, waited)
-	})
+	}, nil)
 	timer.Stop()
 	if err != nil {
 		defer cancel(nil)
