--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -54,6 +54,9 @@
 	// UpstreamCrashes the crashes of upstreams.
 	CrashedAttempts metrics.Counter
 	UpstreamCrashes metrics.Counter
+	// CheckedRefusals counts refusals without a request ID that were to be confirmed by a health
+	// check.
+	CheckedRefusals metrics.Counter
 	// Quarantined counts calls refused because upstreams have crashed while running the
 	// request.
 	Quarantined metrics.Counter
@@ -99,6 +102,7 @@
 		Sent:               counter("attempts_sent"),
 		Refused:            counter("attempts_refused"),
 		CrashedAttempts:    counter("upstream_ended"),
+		CheckedRefusals:    counter("refusals_checked"),
 		Quarantined:        counter("quarantined"),
 		OverLimit:          counter("over_limit"),
 		UnknownKey:         counter("unknown_key"),
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -192,10 +192,16 @@
 	if route, ok := v.Match(a.Host, a.URL.Path); ok && route.Policy.MayRepeat(a.Method) {
 		return ""
 	}
-	if s := v.Services[loc.service]; s != nil {
-		return s.HealthPath
+	s := v.Services[loc.service]
+	if s == nil || s.HealthPath == "" {
+		return ""
 	}
-	return ""
+	o.cfg.Metrics.CheckedRefusals.Inc(1)
+	if mayLog(o.cfg.Logger, &o.logLimit, o.cfg.Now(), "check refusal") {
+		o.cfg.Logger.Debug().Str("step", "check refusal").Str("request", a.Request).Str("peer", a.Upstream).
+			Msg("refusal without a request ID on a kept connection; confirming it by a health check")
+	}
+	return s.HealthPath
 }
 
 // failed returns the result of a request that got no response. The request is known not
