--- a/internal/callpath/callerlistener.go
+++ b/internal/callpath/callerlistener.go
@@ -58,6 +58,7 @@
 
 // SetReadDeadline implements net.Conn. It replaces a deadline of the server by the configured one.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.awaiting.Store(false)
 	if !t.After(time.Now()) {
 		return c.Conn.SetReadDeadline(t)
 	}
--- a/internal/callpath/callerlistener_test.go
+++ b/internal/callpath/callerlistener_test.go
@@ -83,6 +83,25 @@
 			request(is, c)
 			is.Equal(closedAfter(c), limits.IdleTimeout)
 		},
+		"pipelined requests": func(is *is.I, dial func() net.Conn, _ func(config.Limits)) {
+			c := dial()
+			answers := bufio.NewReader(c)
+			// The head of the second request arrives with the first, its body in three parts later.
+			go func() {
+				io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n")
+				for range 3 {
+					time.Sleep(70 * time.Second)
+					io.WriteString(c, "x")
+				}
+			}()
+			for range 2 {
+				res, err := http.ReadResponse(answers, nil)
+				is.NoErr(err)
+				body, err := io.ReadAll(res.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "answer")
+			}
+		},
 		"another configuration": func(is *is.I, dial func() net.Conn, set func(config.Limits)) {
 			c := dial()
 			set(config.Limits{HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
@@ -108,7 +127,11 @@
 				ln := &pipeListener{conns: make(chan net.Conn)}
 				srv := &http.Server{
 					ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, ConnState: in.ConnState,
-					Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if _, err := io.Copy(io.Discard, r.Body); err != nil {
+							w.WriteHeader(http.StatusBadRequest)
+							return
+						}
 						time.Sleep(time.Minute) // a request takes as long as it takes
 						io.WriteString(w, "answer")
 					}),
--- a/internal/callpath/responselimits.go
+++ b/internal/callpath/responselimits.go
@@ -49,7 +49,7 @@
 	if l.body == 0 {
 		return nil
 	}
-	if res.ContentLength > l.body {
+	if res.ContentLength > l.body && res.Body != http.NoBody { // a response to HEAD has none
 		return errBodyTooLong
 	}
 	res.Body = &limitedBody{ReadCloser: res.Body, left: l.body}
--- a/internal/callpath/responselimits_test.go
+++ b/internal/callpath/responselimits_test.go
@@ -185,3 +185,15 @@
 }
 
 func (c readOnlyConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+
+// TestResponseToHeadMayStateAnyLength guards against a response without a body that is rejected for the
+// length of the body that it stands for.
+func TestResponseToHeadMayStateAnyLength(t *testing.T) {
+	is := is.New(t)
+	p := newPool(&net.Dialer{}, "", 0, time.Minute, DefaultDialect(), responseLimits{body: 10})
+	for method, accepted := range map[string]bool{http.MethodHead: true, http.MethodGet: false} {
+		c := newClientConn(p, readOnlyConn{Reader: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nhello world")})
+		_, err := c.receive(&http.Request{Method: method, Header: http.Header{}}, nil)
+		is.Equal(err == nil, accepted)
+	}
+}
