Test harness: a daemon's address for upstreams is not used twice

TestPoisonRequestIsQuarantined failed in a whole script at rest: 'ikeja-1: lists 7 live upstreams, want 6' (and in 1 of 21 repeats). Traced there: each daemon listened for upstreams at a port that the system chose; a daemon that was started after a kill got the port of another that had been killed, whose upstream went on announcing itself there, and was listed under the wrong VM.

A cluster now draws these ports itself and uses none twice.

--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -45,6 +45,9 @@
 	// daemon. Default: 1s.
 	Probe         string
 	upstreamCount int
+	// localAddrs are the addresses at which daemons have listened for upstreams.
+	localMu    sync.Mutex
+	localAddrs map[string]bool
 }
 
 // VM is a daemon with its own IP address, and the upstreams beside it.
@@ -119,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &Cluster{T: t, bin: bin, dir: t.ArtifactDir()}
+	c := &Cluster{T: t, bin: bin, dir: t.ArtifactDir(), localAddrs: map[string]bool{}}
 	c.log = start(t, c.path("log.out"), bin.Log)
 	addr := c.log.awaitLine("127.0.0.1:")
 	c.LogURL = "http://" + addr
@@ -150,7 +153,7 @@
   admin: "%[3]s:0"
   peers: "%[3]s:0"
   owner: "%[3]s:0"
-  local: "127.0.0.1:0"
+  local: "%[11]s"
   source: %[3]s
   advertise_peers: "%[4]s"
   advertise_owner: "%[5]s"
@@ -204,6 +207,19 @@
 	endPort   = 30_000
 )
 
+// unusedLocalAddr returns a free loopback address that this cluster has not used before. An upstream
+// of a daemon that was killed goes on announcing itself at that daemon's address.
+func (c *Cluster) unusedLocalAddr() string {
+	c.localMu.Lock()
+	defer c.localMu.Unlock()
+	for {
+		if addr := c.freeAddr("127.0.0.1"); !c.localAddrs[addr] {
+			c.localAddrs[addr] = true
+			return addr
+		}
+	}
+}
+
 // freeAddr returns an address that is free now. Only this VM uses its IP address.
 func (c *Cluster) freeAddr(ip string) string {
 	for range 100 {
@@ -226,7 +242,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", other.Peers.Addr()))
 	}
 	text := fmt.Sprintf(settingsFormat, v.Name, v.Domain, v.IP, v.Peers.Addr(), v.Owner.Addr(),
-		c.LogProxy.Addr(), strings.Join(seeds, ", "), v.Platform.settings()+c.Settings, cmp.Or(c.Probe, "1s"), c.LinkMbps)
+		c.LogProxy.Addr(), strings.Join(seeds, ", "), v.Platform.settings()+c.Settings, cmp.Or(c.Probe, "1s"), c.LinkMbps, c.unusedLocalAddr())
 	file := c.path(v.Name + ".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		c.T.Fatal(err)
