Heartbeats of tests come from one package beside the platform's own

Two tests wrote the platform's format of heartbeats themselves, with its words outside platform/. platformtest encodes it; the bodies are the same.

--- a/internal/agent/acknowledge_test.go
+++ b/internal/agent/acknowledge_test.go
@@ -14,6 +14,7 @@
 	"github.com/comfreygate/comfreygate/internal/table"
 	"github.com/comfreygate/comfreygate/internal/wire"
 	"github.com/comfreygate/comfreygate/platform"
+	"github.com/comfreygate/comfreygate/platform/platformtest"
 )
 
 // sendToDaemon sends a request of an upstream to the handler of a daemon's heartbeats, and returns
@@ -26,9 +27,9 @@
 	return w.Code
 }
 
-const (
-	readyHeartbeat    = `{"service":"s0","address":"127.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"sequence":3}`
-	drainingHeartbeat = `{"service":"s0","address":"127.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"draining","cold_left_ms":0,"sequence":4}`
+var (
+	readyHeartbeat    = platformtest.Heartbeat{Service: "s0", Addr: "127.0.0.1:80", Slots: 4, Sequence: 3}.Encode()
+	drainingHeartbeat = platformtest.Heartbeat{Service: "s0", Addr: "127.0.0.1:80", Slots: 4, Sequence: 4, Draining: true}.Encode()
 )
 
 // TestStoppedDaemonAcknowledgesNothing guards against an upstream that relies on the
--- a/itest/leaving/upstream_test.go
+++ b/itest/leaving/upstream_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/comfreygate/comfreygate/itest/harness"
+	"github.com/comfreygate/comfreygate/platform/platformtest"
 )
 
 const (
@@ -72,19 +72,11 @@
 }
 
 // heartbeat returns the body of the next heartbeat.
-func (u *upstream) heartbeat() []byte {
+func (u *upstream) heartbeat() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.sequence++
-	state := "ready"
-	if u.draining {
-		state = "draining"
-	}
-	body, _ := json.Marshal(map[string]any{
-		"service": u.service, "address": u.addr, "zone": "z", "version": "v1", "slots": 8,
-		"state": state, "cold_left_ms": 0, "sequence": u.sequence,
-	})
-	return body
+	return platformtest.Heartbeat{Service: u.service, Addr: u.addr, Slots: 8, Draining: u.draining, Sequence: u.sequence}.Encode()
 }
 
 func (u *upstream) sendHeartbeats() {
@@ -95,7 +87,7 @@
 		silent := u.silent
 		u.mu.Unlock()
 		if !silent {
-			go u.call(http.MethodPut, string(u.heartbeat()))
+			go u.call(http.MethodPut, u.heartbeat())
 		}
 		select {
 		case <-ticker.C:
@@ -107,7 +99,7 @@
 
 // sendLate sends a heartbeat of now after a delay, whatever becomes of the upstream meanwhile.
 func (u *upstream) sendLate(delay time.Duration) {
-	body := string(u.heartbeat())
+	body := u.heartbeat()
 	time.AfterFunc(delay, func() { u.call(http.MethodPut, body) })
 }
 
@@ -143,7 +135,7 @@
 		if deregister {
 			acknowledged = u.call(http.MethodDelete, "")
 		} else {
-			acknowledged = u.call(http.MethodPut, string(u.heartbeat()))
+			acknowledged = u.call(http.MethodPut, u.heartbeat())
 		}
 		if acknowledged {
 			u.mu.Lock()
