Comments and a message after another reading

The error of a leaving that is not acknowledged said that neither another daemon nor the store has confirmed it; since the store may be required, one of them may have.

--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -56,15 +56,15 @@
 // Errors of announcements and removals that are not in force, or would not survive this daemon.
 var (
 	errStopped       = errors.New("the daemon has stopped")
-	errNotReplicated = errors.New("neither another daemon nor the store has confirmed that it knows that the upstream leaves")
+	errNotReplicated = errors.New("the store and another daemon have not both confirmed yet that the upstream leaves")
 )
 
 const (
 	// departureTimeout is how long an upstream that leaves waits for others to know of it.
 	// Upstreams wait a second for the answer.
 	departureTimeout = 800 * time.Millisecond
-	// secondHolderTimeout is how long it waits for both another daemon and the store, if one of
-	// them is missing.
+	// secondHolderTimeout is how long it waits for both another daemon and the store before one
+	// of them may suffice, see system.DeparturesHeld.
 	secondHolderTimeout = 300 * time.Millisecond
 )
 
--- a/internal/callpath/confirm.go
+++ b/internal/callpath/confirm.go
@@ -17,14 +17,14 @@
 // maxConfirmBytes bounds the bodies of the refusal and of a response to an earlier request.
 const maxConfirmBytes = 64 << 10
 
-// healthPathFor returns the path of the health check that confirms a refusal without a request ID, or
-// "" if the refusal needs none. It is called once there is such a refusal.
+// healthPathFor returns the path of the health check that confirms an ambiguous refusal, or "" if the
+// refusal is to be believed without one. It is called for ambiguous refusals only.
 type healthPathFor func() string
 
 // isAmbiguous reports whether a response is a refusal that may belong to no request: it lacks the
 // request ID, and the connection has carried another response before, after which a faulty upstream
-// may send additional bytes. The refusal of a long body comes before all of that has been sent; no
-// health check can follow then.
+// may send additional bytes. Refusals of requests with a long body are not ambiguous: they may arrive
+// before the body has been sent, and no health check can follow then.
 func (c *clientConn) isAmbiguous(req *http.Request, res *http.Response) bool {
 	if !c.reused || req.ContentLength >= outcome.LongBody || !c.pool.dialect.unnamed(res.Header) {
 		return false
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// isOwnIncarnation reports whether an incarnation is that of this process. One that was raised is known
-// under both.
+// isOwnIncarnation reports whether an incarnation is that of this process: the one at its start, or the
+// one to which it was raised.
 func (o *Owner) isOwnIncarnation(incarnation uint64) bool {
 	return incarnation == o.cfg.Incarnation || incarnation == o.view.Load().Incarnation
 }
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -65,7 +65,7 @@
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	idleSince time.Time
-	// reused is set if the connection has carried a response before.
+	// reused is set if the connection was idle in the pool before, and so may have carried a response.
 	reused bool
 	// notReusable is set once the connection must not be reused. Only the goroutine that
 	// holds the connection accesses it.
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -31,8 +31,8 @@
 	// to it would wait until their deadline. Narrow links under load hold packets for half a
 	// second.
 	ownerAckTimeout = time.Second
-	// maxOwnerHeadBytes bounds the head of an owner's response. It has the headers of the
-	// upstream's response, which the owner bounds.
+	// maxOwnerHeadBytes bounds the head of an owner's response. The owner bounds the upstream's
+	// headers, which are most of it, by its own settings.
 	maxOwnerHeadBytes = 16 << 20
 	// maxOwnerPools is the maximum number of owners to which connections are kept.
 	maxOwnerPools = 2048
--- a/internal/quota/bucket_test.go
+++ b/internal/quota/bucket_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// TestBucketWithoutWindowAllowsItsBurstOnce checks a limit that is not measured in windows,
+// TestBucketWithoutWindowAllowsItsBurstOnce checks a limit without a window,
 // and that the memory of its bucket does not grow.
 func TestBucketWithoutWindowAllowsItsBurstOnce(t *testing.T) {
 	now := time.Second
--- a/internal/quota/returning_test.go
+++ b/internal/quota/returning_test.go
@@ -185,8 +185,8 @@
 	f.after(from+length-f.now, func() { s.rateFactor = idleFactor })
 }
 
-// setLimit changes a workspace's limit at all coordinators. Windows that begin before are
-// not measured.
+// setLimit changes a workspace's limit at all coordinators. Windows that begin before are not
+// checked.
 func (f *fleet) setLimit(s *workspace, limit Limit) {
 	s.limitFrom = f.now
 	f.limits[s.name] = limit
