--- a/review/bed2/client.go
+++ b/review/bed2/client.go
@@ -16,8 +16,6 @@
 	Method, Host, Path, ID, Key string
 	Body                        []byte
 	Deadline                    time.Duration
-	// Header holds other headers.
-	Header map[string]string
 }
 
 // Answer is what a client has got for an attempt.
@@ -70,9 +68,6 @@
 	r.Host = req.Host
 	r.Header.Set("X-Request-Id", req.ID)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(req.Deadline.Milliseconds(), 10))
-	for name, value := range req.Header {
-		r.Header.Set(name, value)
-	}
 	if req.Key != "" {
 		r.Header.Set("X-Key", req.Key)
 	}
--- a/review/bed2/worker.go
+++ b/review/bed2/worker.go
@@ -34,6 +34,10 @@
 	// Unframed is how long the worker takes to write an answer, which then has no length and ends with
 	// its connection. Zero: answers have a length and are written at once.
 	Unframed time.Duration
+	// Extra is what a faulty worker sends once more after an answer, late: where the next response on the
+	// connection is expected. ExtraAfter decides after each answer whether it does.
+	Extra      string
+	ExtraAfter func() bool
 
 	server   *http.Server
 	stop     chan struct{}
@@ -57,12 +61,36 @@
 		return err
 	}
 	w.stop = make(chan struct{})
-	w.server = &http.Server{Handler: w, IdleTimeout: 10 * time.Second}
+	w.server = &http.Server{Handler: w, IdleTimeout: 10 * time.Second, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &workerConn{Conn: c})
+	}}
 	go w.server.Serve(ln)
 	go w.sendHeartbeats()
 	return nil
 }
 
+// connKey is the context key of the workerConn of a request.
+type connKey struct{}
+
+// workerConn is a connection of a worker. It serves one request at a time.
+type workerConn struct {
+	net.Conn
+	// extraDue is set if the worker sends its extra bytes where the next response is expected.
+	extraDue bool
+}
+
+// sendExtra sends the extra bytes that are due on the request's connection.
+func (w *Worker) sendExtra(r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*workerConn)
+	if !ok || !conn.extraDue {
+		return
+	}
+	conn.extraDue = false
+	w.Machine.d.Record.Printf("worker %s: sends extra bytes after an earlier answer, while it runs %s: %q", w.ID, r.Header.Get("X-Request-Id"), w.Extra)
+	// An error means that the daemon has closed the connection.
+	_, _ = conn.Write([]byte(w.Extra))
+}
+
 // MachineOf returns the machine of a worker that runs in a process of its own, without its daemon.
 func MachineOf(r *Record, workerAddr, control, service, zone string, heartbeatMs int) *Machine {
 	return &Machine{
@@ -139,6 +167,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
+	w.sendExtra(r)
 	status, answer := w.Work(ctx, w, r, body)
 	if r.Context().Err() != nil {
 		w.Machine.d.Record.Printf("worker %s: the connection of %s closed while it was at work", w.ID, id)
@@ -154,6 +183,9 @@
 	// An error means that the daemon has closed the connection.
 	_, _ = rw.Write(answer)
 	w.Machine.d.Record.Printf("worker %s: answered %s with %d, %d bytes", w.ID, id, status, len(answer))
+	if conn, ok := r.Context().Value(connKey{}).(*workerConn); ok && w.ExtraAfter != nil {
+		conn.extraDue = w.ExtraAfter()
+	}
 }
 
 // piecesOfUnframed is the number of pieces in which an answer without a length is written.
