--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -43,8 +43,11 @@
 	LinkMbps float64
 	// Probe is the interval at which a daemon compares its state with a random other
 	// daemon. Default: 1s.
-	Probe         string
-	upstreamCount int
+	Probe string
+	// MaxDescriptors limits the open file descriptors of each daemon's process; zero: as the
+	// test's own.
+	MaxDescriptors int
+	upstreamCount  int
 	// localAddrs are the addresses at which daemons have listened for upstreams.
 	localMu    sync.Mutex
 	localAddrs map[string]bool
@@ -249,7 +252,12 @@
 	}
 	v.incarnations++
 	c.T.Setenv("COMFREY_TOKEN", Token)
-	v.proc = start(c.T, c.path(fmt.Sprintf("%s.%d.out", v.Name, v.incarnations)), c.bin.Daemon, "run", "--settings", file)
+	command := []string{c.bin.Daemon, "run", "--settings", file}
+	if c.MaxDescriptors > 0 {
+		limit := fmt.Sprintf(`ulimit -n %d && exec "$@"`, c.MaxDescriptors)
+		command = append([]string{"/bin/sh", "-c", limit, "sh"}, command...)
+	}
+	v.proc = start(c.T, c.path(fmt.Sprintf("%s.%d.out", v.Name, v.incarnations)), command[0], command[1:]...)
 	var line struct {
 		Listen agent.Addresses `json:"listen"`
 	}
@@ -272,6 +280,12 @@
 // PeakMemory returns the most memory, in bytes, that the daemon's process has had resident.
 func (v *VM) PeakMemory() int64 { return v.proc.peakMemory() }
 
+// Running reports whether the daemon's process has not exited.
+func (v *VM) Running() bool { return v.proc.running() }
+
+// OpenDescriptors returns how many file descriptors the daemon's process has open.
+func (v *VM) OpenDescriptors() int { return v.proc.openDescriptors() }
+
 // Pause freezes the daemon until Resume.
 func (v *VM) Pause() { v.proc.signal(syscall.SIGSTOP) }
 
--- a/itest/harness/process.go
+++ b/itest/harness/process.go
@@ -134,6 +134,26 @@
 	return kib << 10
 }
 
+// running reports whether the process has not exited.
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// openDescriptors returns how many file descriptors the process has open.
+func (p *process) openDescriptors() int {
+	p.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return len(entries)
+}
+
 // awaitLine waits for a line of output that contains text, and returns the line.
 func (p *process) awaitLine(text string) string {
 	var found string
