Bodies and buffered responses take their memory from one budget

Callers saw a daemon end for lack of memory: 200 clients that send a body of 1 MiB but for its end and stay connected took it to 260 MB, where the smallest VM has 160 MB, and more clients took more.

Cause: the ingress read each body whole, up to the limit, before anything was admitted, also where the announced length was over the limit. Nothing bounded the sum of all bodies or the time that one may take. Owners did the same, and buffered responses stayed until their callers had taken them.

Change: bodies and buffered responses take blocks from a budget of the process, half of the new setting memory_mb (default 128), as they arrive and not as they are announced. Without memory a request is refused as not run (503, memory-full). A transfer without progress for a second gives way to one that needs its memory; an eighth is for bodies of up to 16 KiB. A body must arrive within the time of its call (408, body-too-slow). A body announced as too long is refused unread. An owner takes the memory of a long body before it asks for it. A response that finds no memory is streamed. The budget always holds one body of calls.max_body, so that no single request inside the limits is refused in calm. The garbage collector's target follows memory_mb where that is large.

Bodies are sent from blocks; a short one is still one piece, since net/http writes only bodies that it knows to be in memory together with the headers.

--- a/cmd/comfreyd/run.go
+++ b/cmd/comfreyd/run.go
@@ -23,17 +23,24 @@
 // tokenVariable is the environment variable with the operators' token.
 const tokenVariable = "COMFREY_TOKEN"
 
-// memoryLimitBytes is the memory use from which the garbage collector works harder than
-// gc_percent demands. It is below the 128 MB that a daemon may use for control.
-const memoryLimitBytes = 100 << 20
+const (
+	// minMemoryLimitBytes is the memory use from which the garbage collector works harder than
+	// gc_percent demands, unless the VM has much more memory. It is below the 128 MB that a daemon may
+	// use for control.
+	minMemoryLimitBytes = 100 << 20
+	// memoryLimitShare is that memory use as a share of the memory of the process: more than the bodies of
+	// calls may take, so that they alone do not keep the collector busy.
+	memoryLimitShare = 0.75
+	bytesPerMB       = 1_000_000
+)
 
 // tuneMemory sets the garbage collector's targets unless the environment sets them.
-func tuneMemory(gcPercent int) {
+func tuneMemory(s settings.Settings) {
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(s.GCPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimitBytes)
+		debug.SetMemoryLimit(max(minMemoryLimitBytes, int64(memoryLimitShare*float64(s.MemoryMB)*bytesPerMB)))
 	}
 }
 
@@ -69,7 +76,7 @@
 	if err != nil {
 		return &exit.Error{Code: exit.BadInput, Err: err}
 	}
-	tuneMemory(s.GCPercent)
+	tuneMemory(s)
 	out := newBoundedLog()
 	defer out.Close()
 	logger := newLogger(out, s.Logging, s.VM)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -177,6 +177,7 @@
 	a.pressure = pressure.New(time.Now)
 	registerPressure(a.metrics, a.pressure)
 	m := callpath.NewMetrics(a.metrics)
+	budget := newBodyBudget(s, a.metrics)
 	limiter := limits.New(limits.Config{
 		Domain:    s.FailureDomain,
 		Tolerance: s.Bounds.Tolerance(),
@@ -191,6 +192,7 @@
 		IdleTimeout:      time.Duration(s.Calls.UpstreamIdle),
 		MaxHeader:        int64(s.Calls.MaxHeader),
 		MaxResponse:      s.Calls.MaxResponse,
+		Memory:           budget,
 		LinkMbps:         s.Calls.LinkMbps,
 		Suspects:         a.suspects,
 		LimitCoordinator: limiter,
@@ -209,6 +211,7 @@
 		ConnectTimeout:  time.Duration(s.Calls.ConnectTimeout),
 		Source:          s.Listen.SourceAddr(),
 		InquireAfter:    time.Duration(s.Calls.InquireAfter),
+		Memory:          budget,
 		Limits:          limiter,
 		MaxConfigAge:    time.Duration(s.Bounds.Revoke),
 		RetryRatio:      s.Calls.RetryRatio,
--- a/internal/callpath/answer.go
+++ b/internal/callpath/answer.go
@@ -79,6 +79,8 @@
 		return http.StatusRequestEntityTooLarge
 	case outcome.ReasonBadRequest:
 		return http.StatusBadRequest
+	case outcome.ReasonSlowBody:
+		return http.StatusRequestTimeout
 	case outcome.ReasonTooDeep:
 		return http.StatusLoopDetected
 	}
--- a/internal/callpath/attempt.go
+++ b/internal/callpath/attempt.go
@@ -150,7 +150,7 @@
 	// which address the caller reached a daemon.
 	AnyHost bool
 	Header  http.Header
-	Body    []byte
+	Body    *Body
 	// cachedDigest is the digest of the request, or zero until digest is first called.
 	cachedDigest suspect.Digest
 }
@@ -176,7 +176,7 @@
 	if a.AnyHost {
 		host = ""
 	}
-	return suspect.Of(a.Caller, a.Method, host, a.URL.EscapedPath(), a.URL.RawQuery, a.Body)
+	return suspect.Of(a.Caller, a.Method, host, a.URL.EscapedPath(), a.URL.RawQuery, a.Body.parts()...)
 }
 
 // permille converts a fraction to the integer that is sent in a header.
--- a/internal/callpath/blockbuffer.go
+++ b/internal/callpath/blockbuffer.go
@@ -3,6 +3,10 @@
 import (
 	"io"
 	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreygate/comfreygate/internal/memory"
 )
 
 const (
@@ -10,6 +14,9 @@
 	maxBlockBytes   = 64 << 10
 )
 
+// errBufferFull means that no memory is left for what follows.
+var errBufferFull = errors.New("no memory is left for the buffer")
+
 // freeBlocks holds unused blocks of maxBlockBytes.
 var freeBlocks = sync.Pool{New: func() any { return new([maxBlockBytes]byte) }}
 
@@ -17,6 +24,8 @@
 // a bytes.Buffer it does not copy what it holds as it grows, which leaves as much again as garbage.
 type blockBuffer struct {
 	blocks [][]byte
+	// share holds the memory of the blocks.
+	share *memory.Share
 	// used is the number of bytes in the last block, read those of the first block that have
 	// been read.
 	used, read int
@@ -26,7 +35,9 @@
 func (b *blockBuffer) ReadFrom(r io.Reader) (total int64, err error) {
 	for {
 		if len(b.blocks) == 0 || b.used == len(b.blocks[len(b.blocks)-1]) {
-			b.grow()
+			if !b.grow() {
+				return total, errBufferFull
+			}
 		}
 		n, err := r.Read(b.blocks[len(b.blocks)-1][b.used:])
 		b.used += n
@@ -40,18 +51,22 @@
 	}
 }
 
-// grow appends a block.
-func (b *blockBuffer) grow() {
+// grow appends a block. False: no memory is left for it.
+func (b *blockBuffer) grow() bool {
 	size := firstBlockBytes
 	if n := len(b.blocks); n > 0 {
 		size = min(2*len(b.blocks[n-1]), maxBlockBytes)
 	}
+	if !b.share.Take(int64(size)) {
+		return false
+	}
 	if size == maxBlockBytes {
 		b.blocks = append(b.blocks, freeBlocks.Get().(*[maxBlockBytes]byte)[:])
 	} else {
 		b.blocks = append(b.blocks, make([]byte, size))
 	}
 	b.used = 0
+	return true
 }
 
 // Read implements io.Reader. What has been read is discarded.
@@ -73,9 +88,11 @@
 
 // discardFirst removes the first block.
 func (b *blockBuffer) discardFirst() {
-	if block := b.blocks[0]; len(block) == maxBlockBytes {
+	block := b.blocks[0]
+	if len(block) == maxBlockBytes {
 		freeBlocks.Put((*[maxBlockBytes]byte)(block))
 	}
+	b.share.Give(int64(len(block)))
 	b.blocks[0] = nil
 	b.blocks, b.read = b.blocks[1:], 0
 }
--- a/internal/callpath/buffer.go
+++ b/internal/callpath/buffer.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreygate/comfreygate/internal/memory"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 )
 
@@ -14,14 +18,14 @@
 // retried at another upstream; others are streamed.
 const maxBufferedAnswer = 1 << 20
 
-// bufferAnswer reads a response into memory, unless it has maxBufferedAnswer bytes or more.
-// A truncated response becomes an unknown outcome. The returned size is the number of
-// bytes read.
-func bufferAnswer(ctx context.Context, r outcome.Result) (outcome.Result, int) {
-	var buf blockBuffer
+// bufferAnswer reads a response into memory of the budget, unless it has maxBufferedAnswer bytes or
+// more, or finds no memory. A truncated response becomes an unknown outcome. The returned size is the
+// number of bytes read.
+func bufferAnswer(ctx context.Context, budget *memory.Budget, r outcome.Result) (outcome.Result, int) {
+	buf := &bufferedAnswer{blockBuffer{share: budget.Open()}}
 	n, err := buf.ReadFrom(io.LimitReader(r.Body, maxBufferedAnswer))
-	if err == nil && n == maxBufferedAnswer {
-		r.Body = &partlyRead{Reader: io.MultiReader(&buf, r.Body), Closer: r.Body}
+	if err == nil && n == maxBufferedAnswer || errors.Is(err, errBufferFull) {
+		r.Body = &partlyRead{Reader: io.MultiReader(buf, r.Body), buffered: buf, rest: r.Body}
 		return r, int(n)
 	}
 	closeErr := r.Body.Close()
@@ -29,9 +33,10 @@
 		err = closeErr
 	}
 	if err == nil {
-		r.Body = io.NopCloser(&buf)
+		r.Body = buf
 		return r, int(n)
 	}
+	buf.Close()
 	out := outcome.MayHaveRun(outcome.ReasonBroken, errors.Wrap(err, "read response from upstream"))
 	if ctx.Err() != nil {
 		out.Reason = outcome.CancelReason(ctx)
@@ -40,9 +45,51 @@
 	return out, int(n)
 }
 
+// bufferedAnswer is the body of a response that has been read completely.
+type bufferedAnswer struct{ blockBuffer }
+
+// Close implements io.Closer.
+func (b *bufferedAnswer) Close() error {
+	b.share.Close()
+	return nil
+}
+
+// bufferOf returns the buffer of a response that has been read completely. False: it is streamed.
+func bufferOf(body io.Reader) (*bufferedAnswer, bool) {
+	if counted, ok := body.(*answerBody); ok {
+		body = counted.ReadCloser
+	}
+	buffer, ok := body.(*bufferedAnswer)
+	return buffer, ok
+}
+
+// writeBuffered writes a response that has been read completely to the caller. If memory is needed
+// elsewhere while the caller takes nothing, the connection is closed.
+func writeBuffered(w http.ResponseWriter, r *http.Request, res outcome.Result, answer *bufferedAnswer) {
+	if conn := connOf(r); conn != nil {
+		answer.share.Unpin(func() { setWriteDeadline(conn, longAgo) })
+	}
+	writeAnswer(w, res)
+	if answer.share.Evicted() {
+		// The deadline of the connection has passed, so that it cannot be kept.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// setWriteDeadline sets the deadline of writes. An error can be ignored: the connection has been closed,
+// and the next write says so.
+func setWriteDeadline(c net.Conn, t time.Time) { _ = c.SetWriteDeadline(t) }
+
 // partlyRead is a body whose beginning has already been read: Reader returns that part
 // first.
 type partlyRead struct {
 	io.Reader
-	io.Closer
+	buffered *bufferedAnswer
+	rest     io.Closer
+}
+
+// Close implements io.Closer.
+func (p *partlyRead) Close() error {
+	p.buffered.Close()
+	return p.rest.Close()
 }
--- a/internal/callpath/compress_test.go
+++ b/internal/callpath/compress_test.go
@@ -107,7 +107,7 @@
 	u := view.Upstream{ID: "w0", Daemon: "w0", Domain: "e", Owner: earlier.Listener.Addr().String(), Compress: true}
 	for _, body := range []int{0, 400, 10_000, outcome.LongBody} {
 		a := waitingAttempt("a-1", "w0", time.Now().Add(5*time.Second))
-		a.Body = []byte(strings.Repeat("\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", body/30))
+		a.Body = NewBody([]byte(strings.Repeat("\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", body/30)))
 		res := r.ingress.remote.send(context.Background(), u, a)
 		is.Equal(res.Outcome, outcome.NotRun)
 		is.Equal(res.Reason, outcome.ReasonUpstreamRemoved)
@@ -127,7 +127,7 @@
 	unknown := 0
 	for range 300 {
 		a := waitingAttempt("a-1", "w0", time.Now().Add(5*time.Second))
-		a.Body = make([]byte, outcome.LongBody)
+		a.Body = NewBody(make([]byte, outcome.LongBody))
 		if r.ingress.remote.send(context.Background(), u, a).Outcome != outcome.NotRun {
 			unknown++
 		}
--- a/internal/callpath/fleet_sim_test.go
+++ b/internal/callpath/fleet_sim_test.go
@@ -332,7 +332,7 @@
 	in := vm.ingress
 	c := &call{route: k.route, service: vm.services[k.service], attempt: Attempt{
 		Urgency: k.route.Policy.Urgency, Deadline: deadline, Objective: objective, Repeatable: k.route.Policy.Repeatable != nil,
-		Body: make([]byte, 0), Method: http.MethodGet, URL: &url.URL{Path: path}, Caller: vm.service, Request: path,
+		Method: http.MethodGet, URL: &url.URL{Path: path}, Caller: vm.service, Request: path,
 	}}
 	if parent != nil {
 		c.attempt.Nested, c.attempt.Urgency, c.attempt.ParentServedPermille = true, parent.urgency, int(permille*parent.vm.gate.ServedFraction())
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/freshness"
 	"github.com/comfreygate/comfreygate/internal/limits"
+	"github.com/comfreygate/comfreygate/internal/memory"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/pick"
 	"github.com/comfreygate/comfreygate/internal/pressure"
@@ -58,6 +59,8 @@
 	// CrossDomainCost is the cost of sending a megabyte between failure domains, as a
 	// multiple of the value of a call.
 	CrossDomainCost float64
+	// Memory is the memory for the bodies of calls and of buffered responses. Nil: unlimited.
+	Memory *memory.Budget
 	// Limits enforces the rate limits of workspaces.
 	Limits *limits.Limiter
 	// Suspects is the table of suspects that the whole daemon shares. Nil: this ingress
@@ -219,6 +222,9 @@
 	c, refusal := in.parse(v, fresh, w, r, began)
 	w.Header().Set(HeaderRequest, c.attempt.Request)
 	if c.route == nil {
+		if r.ContentLength != 0 && w.Header().Get("Connection") != "close" {
+			setReadDeadline(connOf(r), time.Now().Add(discardTimeout))
+		}
 		in.refuse(w, &c, refusal)
 		return
 	}
@@ -230,6 +236,7 @@
 	c.service = v.Services[c.route.Next()]
 	ctx, cancel := in.callContext(r.Context(), &c)
 	defer cancel()
+	defer c.releaseBody()
 	res := in.admitAndRun(ctx, v, &c)
 	recordNested(&c.attempt, res)
 	if res.Body != nil {
@@ -240,6 +247,11 @@
 		return
 	}
 	in.cfg.Metrics.answered(in.cfg.Now().Sub(began))
+	if answer, ok := bufferOf(res.Body); ok {
+		c.releaseBody()
+		writeBuffered(w, r, res, answer)
+		return
+	}
 	writeAnswer(w, res)
 }
 
--- a/internal/callpath/ingressrun.go
+++ b/internal/callpath/ingressrun.go
@@ -125,11 +125,11 @@
 	criteria := pick.Criteria{
 		Urgency:   in.rankUrgency(&c.attempt),
 		Objective: objective,
-		Body:      len(c.attempt.Body),
+		Body:      c.attempt.Body.Len(),
 		Tried:     attempts.Upstreams(),
 		RefusedIn: attempts.RefusedIn(),
 	}
-	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, len(c.attempt.Body), objective)
+	criteria.Bytes, criteria.TypicalLatency = in.picker.Expect(c.route.Name, c.attempt.Body.Len(), objective)
 	c.attempt.TypicalLatency = criteria.TypicalLatency
 	criteria.Answer = in.picker.ExpectAnswer(c.route.Name)
 	c.attempt.AnswerBytes = 0
@@ -177,7 +177,7 @@
 	}
 	if r.Outcome == outcome.Answered {
 		var size int
-		r, size = bufferAnswer(ctx, r)
+		r, size = bufferAnswer(ctx, in.cfg.Memory, r)
 		if r.Outcome == outcome.Answered {
 			in.picker.RecordAnswer(c.route.Name, size, in.cfg.Now().Sub(began))
 		}
--- a/internal/callpath/owner.go
+++ b/internal/callpath/owner.go
@@ -16,6 +16,7 @@
 	"github.com/comfreygate/comfreygate/internal/event"
 	"github.com/comfreygate/comfreygate/internal/intake"
 	"github.com/comfreygate/comfreygate/internal/ledger"
+	"github.com/comfreygate/comfreygate/internal/memory"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/ratelimit"
 	"github.com/comfreygate/comfreygate/internal/runs"
@@ -40,6 +41,8 @@
 	// MaxHeader and MaxResponse bound the headers and the body of an upstream's response, in
 	// bytes; zero: unlimited.
 	MaxHeader, MaxResponse int64
+	// Memory is the memory for the bodies of attempts. Nil: unlimited.
+	Memory *memory.Budget
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; zero means unlimited.
 	LinkMbps float64
 	// Suspects is the daemon's table of suspects, shared with the ingress. If nil, the
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -116,6 +117,7 @@
 	}
 	var ticket egress.Ticket
 	defer func() { ticket.Cancel() }()
+	defer func() { a.Body.release() }()
 	res := o.receive(r, a, &ticket)
 	if res.Outcome != outcome.Answered {
 		setSuspectHeader(w.Header(), o.cfg.Suspects, a)
@@ -156,36 +158,53 @@
 		o.ledger.Abandon(a.ID)
 		return o.refused(a, refusal)
 	}
-	if refusal, ok := o.readBody(r, loc, a); !ok {
+	if refusal, ok := o.receiveBody(r, loc, a); !ok {
 		o.ledger.Abandon(a.ID)
 		return o.refused(a, o.withLoad(refusal, loc))
 	}
 	return o.admit(r.Context(), loc, a, stalls)
 }
 
-// readBody reads the attempt's body once it may be sent. If it returns false, the attempt
-// is refused with the returned result.
-func (o *Owner) readBody(r *http.Request, loc *localUpstream, a *Attempt) (outcome.Result, bool) {
+// receiveBody reads the attempt's body once it may be sent. The memory for a long one is taken before it
+// is requested from the sender, which holds the whole body. If it returns false, the attempt is refused
+// with the returned result.
+func (o *Owner) receiveBody(r *http.Request, loc *localUpstream, a *Attempt) (outcome.Result, bool) {
+	if r.ContentLength == 0 {
+		return outcome.Result{}, true
+	}
+	share := o.cfg.Memory.Open()
 	if r.ContentLength >= outcome.LongBody {
 		if reason, after := loc.gate.Check(admissionRequest(a)); reason != "" {
 			return outcome.Refuse(reason, after), false
 		}
-		reservation, after, ok := o.intake.Reserve(r.ContentLength, a.Deadline)
-		if !ok {
-			return outcome.Refuse(outcome.ReasonLink, after), false
+		if !share.Reserve(r.ContentLength) {
+			return outcome.Refuse(outcome.ReasonMemory, memoryRetryAfter), false
 		}
-		if !o.awaitIntake(r.Context(), reservation) {
-			return outcome.Refuse(outcome.ReasonCancelled, 0), false
+		if refusal, ok := o.awaitTurn(r, a); !ok {
+			share.Close()
+			return refusal, false
 		}
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := receiveInto(share, r, math.MaxInt64, a.Deadline.Sub(o.cfg.Now()))
 	if err != nil {
-		return badRequest(errors.Wrap(err, "read body")), false
+		return bodyRefusal(err), false
 	}
 	a.Body = body
 	return outcome.Result{}, true
 }
 
+// awaitTurn waits until a long body may be sent over the link.
+func (o *Owner) awaitTurn(r *http.Request, a *Attempt) (outcome.Result, bool) {
+	reservation, after, ok := o.intake.Reserve(r.ContentLength, a.Deadline)
+	if !ok {
+		return outcome.Refuse(outcome.ReasonLink, after), false
+	}
+	if !o.awaitIntake(r.Context(), reservation) {
+		return outcome.Refuse(outcome.ReasonCancelled, 0), false
+	}
+	return outcome.Result{}, true
+}
+
 // awaitIntake waits until a reserved body may be sent. False: ctx ended first, and the
 // reservation is cancelled.
 func (o *Owner) awaitIntake(ctx context.Context, r intake.Reservation) bool {
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -319,13 +319,17 @@
 	url.Host = addr
 	req := &http.Request{
 		Method: a.Method, URL: &url, Host: a.Host, Header: maps.Clone(a.Header),
-		ContentLength: int64(len(a.Body)),
+		ContentLength: int64(a.Body.Len()),
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	if len(a.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(a.Body))
+	switch {
+	case a.Body.Len() >= outcome.LongBody:
+		req.Body = a.Body.newReader()
+	case a.Body.Len() > 0:
+		// net/http writes a body that it knows to be in memory together with the headers.
+		req.Body = io.NopCloser(bytes.NewReader(a.Body.joined()))
 	}
 	return req
 }
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -173,8 +173,14 @@
 		return c.receive(req, nil)
 	}
 	sent := make(chan error, 1)
+	content := contentOf(req)
+	content.retain()
 	body := deferBody(req, c.bw.Flush)
-	go func() { sent <- c.send(req) }()
+	go func() {
+		err := c.send(req)
+		content.release()
+		sent <- err
+	}()
 	res, err := c.receive(req, body)
 	body.resolve(false)
 	select {
--- a/internal/callpath/pressure.go
+++ b/internal/callpath/pressure.go
@@ -51,7 +51,7 @@
 // usesLink reports whether the attempt has a long body, or is expected to have a long response,
 // which wait for the link of the upstream's VM.
 func (a *Attempt) usesLink() bool {
-	return len(a.Body) >= outcome.LongBody || a.AnswerBytes > 0
+	return a.Body.Len() >= outcome.LongBody || a.AnswerBytes > 0
 }
 
 // queueWait returns the expected wait of an attempt that joins the end of an upstream's queue.
--- a/internal/callpath/pressure_test.go
+++ b/internal/callpath/pressure_test.go
@@ -82,7 +82,7 @@
 	u := view.Upstream{ID: "w0", Service: "s", Daemon: "w0", Domain: "d"}
 	policy := config.Policy{Objective: 200 * time.Millisecond}
 	observe := func(body int, egress time.Duration) {
-		c := &call{route: &view.Route{Policy: policy}, attempt: Attempt{Body: make([]byte, body)}}
+		c := &call{route: &view.Route{Policy: policy}, attempt: Attempt{Body: NewBody(make([]byte, body))}}
 		load := outcome.Load{Slots: 2, Egress: egress}
 		r.ingress.recordAttemptPressure(c, u, outcome.Result{Outcome: outcome.Answered, HasLoad: true, Load: load})
 	}
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -195,7 +195,7 @@
 		h.Set(headerAnyHost, "1")
 	}
 	setSuspectHeader(h, r.suspects, a)
-	if len(a.Body) >= outcome.LongBody {
+	if a.Body.Len() >= outcome.LongBody {
 		h.Set("Expect", expectContinue)
 	}
 	setClockHeader(h, r.events)
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"crypto/subtle"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,6 +29,12 @@
 	localCtx context.Context
 }
 
+// releaseBody gives the memory of the call's body back. The call must not be run any more.
+func (c *call) releaseBody() {
+	c.attempt.Body.release()
+	c.attempt.Body = nil
+}
+
 // parse checks a request against the view. If the returned call has no route, the result
 // says why it is refused.
 func (in *Ingress) parse(v *view.View, fresh bool, w http.ResponseWriter, r *http.Request, now time.Time) (call, outcome.Result) {
@@ -66,8 +71,9 @@
 	if err != nil {
 		return c, badRequest(err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, in.maxBody(v)))
+	body, err := receiveBody(r, in.cfg.Memory, in.maxBody(v), timeout)
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		return c, bodyRefusal(err)
 	}
 	c.attempt = Attempt{
@@ -134,15 +140,6 @@
 	return r
 }
 
-// bodyRefusal returns the refusal of a request whose body could not be read.
-func bodyRefusal(err error) outcome.Result {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return outcome.Refuse(outcome.ReasonTooLarge, 0)
-	}
-	return badRequest(errors.Wrap(err, "read body"))
-}
-
 // maxRequestID is the maximum length of a request ID, in bytes. The ID of a call at the
 // greatest depth may contain the IDs of all calls above it.
 const maxRequestID = maxDepth * 64
--- a/internal/callpath/suspects.go
+++ b/internal/callpath/suspects.go
@@ -151,7 +151,7 @@
 	if status >= http.StatusInternalServerError {
 		return
 	}
-	if len(a.Body) < outcome.LongBody {
+	if a.Body.Len() < outcome.LongBody {
 		o.recent.Add(a.digest())
 	}
 	if o.cfg.Suspects.Any() {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -52,6 +52,10 @@
 	// ReasonLink: the body or the response would wait too long for the network link of the
 	// owner's VM.
 	ReasonLink Reason = "link-busy"
+	// ReasonMemory: the daemon has no memory left for the body of the request.
+	ReasonMemory Reason = "memory-full"
+	// ReasonSlowBody: the body of the request had not arrived completely at the call's deadline.
+	ReasonSlowBody Reason = "body-too-slow"
 	// ReasonNestedOverload: the run would be useless, since nested calls of its route's runs
 	// are being refused.
 	ReasonNestedOverload Reason = "nested-overload"
@@ -146,7 +150,7 @@
 		return false
 	}
 	switch r.Reason {
-	case ReasonOverload, ReasonUpstreamLimit, ReasonLink, ReasonOtherSuspect:
+	case ReasonOverload, ReasonUpstreamLimit, ReasonLink, ReasonMemory, ReasonOtherSuspect:
 		return true
 	}
 	return false
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -26,12 +26,14 @@
 	NestedCalls Resource = "nested-calls"
 	// Limit is the rate limit of a workspace.
 	Limit Resource = "limit"
+	// Memory is the memory of a VM for the bodies of calls.
+	Memory Resource = "memory"
 	// Reachability is the connection to the owners of a service's upstreams.
 	Reachability Resource = "reachability"
 )
 
 // Resources returns all resources.
-func Resources() []Resource { return []Resource{Slots, Link, NestedCalls, Limit, Reachability} }
+func Resources() []Resource { return []Resource{Slots, Link, NestedCalls, Limit, Memory, Reachability} }
 
 // ResourceOf returns the resource whose lack is the reason of a refusal, and false if the
 // refusal has another cause.
@@ -43,6 +45,8 @@
 		return Link, true
 	case outcome.ReasonNestedOverload:
 		return NestedCalls, true
+	case outcome.ReasonMemory:
+		return Memory, true
 	case outcome.ReasonOverLimit:
 		return Limit, true
 	case outcome.ReasonUnreachable:
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -184,6 +184,8 @@
 		return &invalidSetting{"calls.compress", "must be auto, on or off"}
 	case s.GCPercent < 10 || s.GCPercent > 10_000:
 		return &invalidSetting{"gc_percent", "must be between 10 and 10000"}
+	case s.MemoryMB < 32:
+		return &invalidSetting{"memory_mb", "must be at least 32"}
 	case s.MaxEvents < 16:
 		return &invalidSetting{"events", "must be at least 16"}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,11 @@
 	// the 99th percentile of the latency; 100 needs half of the memory and a seventh more
 	// processor time. Default: 400.
 	GCPercent int `yaml:"gc_percent"`
+	// MemoryMB is the memory that the VM gives this process, in MB. Half of it is for the bodies of
+	// requests and responses on their way through the daemon, and at least enough for one body of
+	// calls.max_body. A request whose body finds no memory is refused with 503 and not run, and bodies
+	// and answers that make no progress give way. Default: 128.
+	MemoryMB int `yaml:"memory_mb"`
 	// MaxEvents is how many events are kept for the timeline. Default: 4096.
 	MaxEvents int `yaml:"events"`
 }
@@ -282,7 +287,7 @@
 			InquireAfter: Duration(time.Second), RetryRatio: 0.1, RetryBurst: 50, CrossDomainCost: 40, LoadControl: config.LoadControlAuto, Compress: config.CompressionAuto,
 			Drain: Duration(2500 * time.Millisecond),
 		},
-		Logging: "info", GCPercent: 400,
+		Logging: "info", GCPercent: 400, MemoryMB: 128,
 		MaxEvents: 4096,
 	}
 }
--- a/internal/suspect/digest.go
+++ b/internal/suspect/digest.go
@@ -14,9 +14,9 @@
 // caller, method, host, path, query and body. The host is empty where routes match any.
 type Digest uint64
 
-// Of returns the digest of a request. It does not allocate, and it reads the body once, at
-// about 10 GB/s.
-func Of(caller, method, host, path, query string, body []byte) Digest {
+// Of returns the digest of a request. The body may be given in
+// parts. Of does not allocate, and it reads the body once, at about 10 GB/s.
+func Of(caller, method, host, path, query string, body ...[]byte) Digest {
 	var h xxhash.Digest
 	h.Reset()
 	for _, s := range [...]string{caller, method, host, path, query} {
@@ -26,7 +26,9 @@
 		_, _ = h.Write(n[:])
 		_, _ = h.WriteString(s)
 	}
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	return Digest(h.Sum64())
 }
 
