Callers' connections leave descriptors for everything else

Callers saw a daemon that did not answer: 600 connections on which nothing is sent took all 400 descriptors of the process, and 200 clients that do not read their answers did the same, so that an ordinary request got no answer in 30 s.

Cause: nothing bounded the number of callers' connections, and connections to owners were kept for a minute, however many there were.

Change: at most a third of the descriptors, by the new setting max_descriptors or else RLIMIT_NOFILE, is for connections of callers. For one more, the one on which nothing has happened for the longest time is closed; a connection with a call in flight never is. Idle connections to owners are closed instead of kept while more than two fifths of the descriptors are open to owners.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -209,6 +209,7 @@
 		Caller:          s.Platform.Service,
 		MaxBody:         s.Calls.MaxBody,
 		ConnectTimeout:  time.Duration(s.Calls.ConnectTimeout),
+		MaxOwnerConns:   maxOwnerConns(s),
 		Source:          s.Listen.SourceAddr(),
 		InquireAfter:    time.Duration(s.Calls.InquireAfter),
 		Memory:          budget,
@@ -316,7 +317,7 @@
 	a.spawn(a.loop)
 	a.spawn(a.watchSuspects)
 	a.spawn(func() { a.transport.Serve(a.listeners.peers) })
-	a.serve(a.ingress.Listener(a.listeners.callers), a.ingress)
+	a.serve(a.ingress.Listener(a.listeners.callers, maxCallerConns(a.settings)), a.ingress)
 	a.serve(compress.Listener(a.listeners.owner), a.owner)
 	a.serve(a.listeners.admin, admin)
 	a.serve(a.listeners.local, a.localHandler())
--- a/internal/callpath/callerlistener.go
+++ b/internal/callpath/callerlistener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,9 +16,14 @@
 // Listener returns a listener of callers' connections that keep to the time limits of the
 // configuration in force: config.Limits.HeaderTimeout from the first byte of a request's headers,
 // IdleTimeout for a connection without a request. Zero limits leave the deadlines that the server sets.
+// At most max connections are open at once, or any number if max is 0: for one more, the one on which
+// nothing has happened for the longest time is closed, unless all have calls in flight.
 // The server must call ConnState.
-func (in *Ingress) Listener(ln net.Listener) net.Listener {
-	return &callerListener{Listener: ln, limits: func() config.Limits { return in.view.Load().Limits }}
+func (in *Ingress) Listener(ln net.Listener, max int) net.Listener {
+	return &callerListener{
+		Listener: ln, limits: func() config.Limits { return in.view.Load().Limits },
+		max: max, open: map[*callerConn]struct{}{}, metrics: in.cfg.Metrics,
+	}
 }
 
 // ConnState is called by the server when the state of a connection of Listener has changed. Use it as
@@ -25,23 +31,81 @@
 func (in *Ingress) ConnState(c net.Conn, state http.ConnState) {
 	if c, ok := c.(*callerConn); ok && state == http.StateIdle {
 		c.idle.Store(true)
+		c.busy.Store(false)
+	}
+}
+
+// setBusy records that the connection of a request has a call in flight, so that it is not closed to
+// make room for others.
+func setBusy(r *http.Request, busy bool) {
+	if c, ok := connOf(r).(*callerConn); ok {
+		c.busy.Store(busy)
 	}
 }
 
 type callerListener struct {
 	net.Listener
-	limits func() config.Limits
+	limits  func() config.Limits
+	max     int
+	metrics *Metrics
+
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &callerConn{Conn: c, limits: l.limits, listener: l}
+		conn.idle.Store(true)
+		conn.touch()
+		if l.makeRoom(conn) {
+			return conn, nil
+		}
+		l.metrics.ClosedForRoom.Inc(1)
+		c.Close()
 	}
-	conn := &callerConn{Conn: c, limits: l.limits}
-	conn.idle.Store(true)
-	return conn, nil
+}
+
+// makeRoom adds a connection to the open ones and closes another one for it if necessary. False: all
+// others have calls in flight.
+func (l *callerListener) makeRoom(conn *callerConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.max > 0 && len(l.open) >= l.max {
+		quietest := l.quietest()
+		if quietest == nil {
+			return false
+		}
+		l.metrics.ClosedForRoom.Inc(1)
+		delete(l.open, quietest)
+		quietest.Conn.Close()
+	}
+	l.open[conn] = struct{}{}
+	return true
+}
+
+// quietest returns the connection on which nothing has happened for the longest time, or nil if all have
+// calls in flight. The caller holds the lock.
+func (l *callerListener) quietest() *callerConn {
+	var quietest *callerConn
+	for c := range l.open {
+		if !c.busy.Load() && (quietest == nil || c.activeAt.Load() < quietest.activeAt.Load()) {
+			quietest = c
+		}
+	}
+	return quietest
+}
+
+// remove removes a connection from the open ones.
+func (l *callerListener) remove(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
 }
 
 // callerConn is a connection of a caller. An http.Server sets deadlines for reading by its own time
@@ -49,11 +113,35 @@
 // waits for a request's headers.
 type callerConn struct {
 	net.Conn
-	limits func() config.Limits
+	listener *callerListener
+	limits   func() config.Limits
 	// idle is set while the connection has no request and no deadline as an idle one yet.
 	idle atomic.Bool
 	// awaiting is set while it has a deadline as an idle one and no byte has been read.
 	awaiting atomic.Bool
+	// busy is set while a whole request is being handled and the caller is not expected to send or take
+	// anything.
+	busy atomic.Bool
+	// activeAt is when bytes were last read or written, in Unix nanoseconds.
+	activeAt atomic.Int64
+}
+
+// touch records that something has happened on the connection.
+func (c *callerConn) touch() { c.activeAt.Store(time.Now().UnixNano()) }
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.touch()
+	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn. It replaces a deadline of the server by the configured one.
@@ -76,6 +164,9 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.touch()
+	}
 	if n > 0 && c.awaiting.Swap(false) {
 		if limit := c.limits().HeaderTimeout; limit > 0 {
 			// The error can be ignored: the next read fails too.
--- a/internal/callpath/callerlistener_test.go
+++ b/internal/callpath/callerlistener_test.go
@@ -136,7 +136,7 @@
 						io.WriteString(w, "answer")
 					}),
 				}
-				go srv.Serve(in.Listener(ln))
+				go srv.Serve(in.Listener(ln, 0))
 				play(is, ln.dial, set)
 				close(ln.conns)
 				srv.Close()
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -45,6 +45,8 @@
 	ConnectTimeout time.Duration
 	// Source is the local address of connections to owners, or nil for any.
 	Source net.Addr
+	// MaxOwnerConns is the number of connections to owners up to which idle ones are kept. Zero: any.
+	MaxOwnerConns int
 	// InquireAfter is how long an attempt may go unanswered before its owner is asked
 	// about it over a new connection.
 	InquireAfter time.Duration
@@ -135,6 +137,7 @@
 	}
 	in.remote.onOwnerUnreachable = in.markOwnerDown
 	in.remote.leaving = &in.leaving
+	in.remote.open.max = int64(cfg.MaxOwnerConns)
 	in.remote.suspects = cfg.Suspects
 	in.remote.countCrossDomain(cfg.Domain, cfg.Metrics.CrossDomain)
 	in.remote.compressed = cfg.Metrics.Compress
@@ -228,6 +231,7 @@
 		in.refuse(w, &c, refusal)
 		return
 	}
+	setBusy(r, true)
 	if !c.attempt.Nested {
 		in.lastDirectCall.Store(in.cfg.Now().UnixNano())
 		in.directInFlight.Add(1)
@@ -247,6 +251,7 @@
 		return
 	}
 	in.cfg.Metrics.answered(in.cfg.Now().Sub(began))
+	setBusy(r, false)
 	if answer, ok := bufferOf(res.Body); ok {
 		c.releaseBody()
 		writeBuffered(w, r, res, answer)
--- a/internal/callpath/metrics.go
+++ b/internal/callpath/metrics.go
@@ -30,6 +30,8 @@
 	OtherDomainRefused metrics.Counter
 	// Voided counts attempts that were voided after their connection broke.
 	Voided metrics.Counter
+	// ClosedForRoom counts callers' connections that were closed because too many were open.
+	ClosedForRoom metrics.Counter
 	// Silent counts connections that were given up because they delivered nothing.
 	Silent metrics.Counter
 	// Sent counts the requests sent to upstreams.
@@ -98,6 +100,7 @@
 		OtherDomain:        counter("attempts_other_domain"),
 		OtherDomainRefused: counter("attempts_other_domain_refused"),
 		Silent:             counter("silent"),
+		ClosedForRoom:      counter("connections_closed_for_room"),
 		Started:            counter("attempts_started"),
 		Sent:               counter("attempts_sent"),
 		Refused:            counter("attempts_refused"),
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -32,6 +32,8 @@
 	// unackedTimeout limits how long sent bytes may stay unacknowledged; zero means the
 	// system's default, which is minutes.
 	unackedTimeout time.Duration
+	// open counts the open connections of this pool and others; nil: they are not counted.
+	open *openConns
 	// crossDomain counts the bytes of the connections for the purposes of their requests; nil:
 	// they are not counted.
 	crossDomain *crossdomain.Counters
@@ -67,6 +69,8 @@
 	idleSince time.Time
 	// reused is set if the connection was idle in the pool before, and so may have carried a response.
 	reused bool
+	// closing makes the connection leave open once.
+	closing sync.Once
 	// notReusable is set once the connection must not be reused. Only the goroutine that
 	// holds the connection accesses it.
 	notReusable bool
@@ -288,7 +292,31 @@
 	return newClientConn(p, conn), nil
 }
 
+// openConns counts the open connections of several pools. It is safe for concurrent use.
+type openConns struct {
+	// max is the number of open connections up to which idle ones are kept; zero: any number.
+	max   int64
+	count atomic.Int64
+}
+
+// tooMany reports whether so many connections are open that none is kept when it becomes idle.
+func (o *openConns) tooMany() bool { return o != nil && o.max > 0 && o.count.Load() > o.max }
+
+// add adds n open connections.
+func (o *openConns) add(n int64) {
+	if o != nil {
+		o.count.Add(n)
+	}
+}
+
+// Close implements net.Conn.
+func (c *clientConn) Close() error {
+	c.closing.Do(func() { c.pool.open.add(-1) })
+	return c.Conn.Close()
+}
+
 func newClientConn(p *pool, conn net.Conn) *clientConn {
+	p.open.add(1)
 	c := &clientConn{Conn: conn, pool: p}
 	stream := conn
 	if p.crossDomain != nil {
@@ -329,6 +357,10 @@
 
 // put returns a connection to the pool for the next request.
 func (p *pool) put(c *clientConn) {
+	if p.open.tooMany() {
+		c.discard()
+		return
+	}
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
--- a/internal/callpath/receivebody_test.go
+++ b/internal/callpath/receivebody_test.go
@@ -66,13 +66,13 @@
 }
 
 // serveCallers serves the ingress of a rig to callers the way the agent does, and returns the address.
-func (r *rig) serveCallers() string {
+func (r *rig) serveCallers(max int) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	srv := &http.Server{Handler: r.ingress, ConnContext: WithConn, ConnState: r.ingress.ConnState}
-	go srv.Serve(r.ingress.Listener(ln))
+	go srv.Serve(r.ingress.Listener(ln, max))
 	r.t.Cleanup(func() { srv.Close() })
 	return ln.Addr().String()
 }
@@ -104,7 +104,7 @@
 			is := is.New(t)
 			r := newRig(t, 1, 4, 0)
 			r.ingress.cfg.Memory = memory.NewBudget(1<<20, 1<<20, time.Now)
-			res, conn := exchange(is, r.serveCallers(), postHead("/normal", rest, HeaderTimeout+": 200")+"3\r\nabc")
+			res, conn := exchange(is, r.serveCallers(0), postHead("/normal", rest, HeaderTimeout+": 200")+"3\r\nabc")
 			defer conn.Close()
 			is.Equal(res.StatusCode, http.StatusRequestTimeout)
 			is.Equal(res.Header.Get(HeaderOutcome), "not-run")
@@ -123,7 +123,7 @@
 func TestBodyOverTheLimitIsRefusedUnread(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 1, 4, 0)
-	res, conn := exchange(is, r.serveCallers(), postHead("/normal", fmt.Sprintf("Content-Length: %d", 2<<20)))
+	res, conn := exchange(is, r.serveCallers(0), postHead("/normal", fmt.Sprintf("Content-Length: %d", 2<<20)))
 	defer conn.Close()
 	is.Equal(res.StatusCode, http.StatusRequestEntityTooLarge)
 	is.True(res.Close)
@@ -136,7 +136,7 @@
 	r := newRig(t, 1, 4, 0)
 	const length = 1 << 20
 	r.ingress.cfg.Memory = memory.NewBudget(1, length, time.Now)
-	addr := r.serveCallers()
+	addr := r.serveCallers(0)
 	unfinished, err := net.Dial("tcp", addr)
 	is.NoErr(err)
 	defer unfinished.Close()
@@ -166,3 +166,37 @@
 	is.Equal(res.Header.Get(HeaderReason), "memory-full")
 	is.Equal(r.workers[0].runs.Load(), int64(2))
 }
+
+// TestQuietestConnectionMakesRoom guards against clients that take all connections and keep ordinary
+// callers out, and against calls that are broken off to make room.
+func TestQuietestConnectionMakesRoom(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 4, 300*time.Millisecond)
+	addr := r.serveCallers(3)
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	running := open()
+	_, err := io.WriteString(running, postHead("/normal", "Content-Length: 0"))
+	is.NoErr(err)
+	for r.workers[0].inFlight.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	silent := open()
+	time.Sleep(10 * time.Millisecond)
+	open()
+	time.Sleep(10 * time.Millisecond)
+	res, conn := exchange(is, addr, postHead("/normal", "Content-Length: 0"))
+	defer conn.Close()
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.NoErr(silent.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = silent.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	res, err = http.ReadResponse(bufio.NewReader(running), nil)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(r.metrics.ClosedForRoom.Count(), int64(1))
+}
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -75,6 +75,9 @@
 	// cannot delay it.
 	inquiryTransport *http.Transport
 
+	// open counts the connections to all owners.
+	open openConns
+
 	mu     sync.Mutex
 	owners map[string]*pool
 }
@@ -112,6 +115,7 @@
 	}
 	p = newPool(r.dialer, owner, 0, ownerIdleTimeout, Dialect{}, responseLimits{head: maxOwnerHeadBytes})
 	p.unackedTimeout = ownerAckTimeout
+	p.open = &r.open
 	p.crossDomain = r.crossDomain
 	p.compressed = r.compressed
 	r.owners[owner] = p
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -186,6 +186,8 @@
 		return &invalidSetting{"gc_percent", "must be between 10 and 10000"}
 	case s.MemoryMB < 32:
 		return &invalidSetting{"memory_mb", "must be at least 32"}
+	case s.MaxDescriptors != 0 && s.MaxDescriptors < 64:
+		return &invalidSetting{"max_descriptors", "must be 0 or at least 64"}
 	case s.MaxEvents < 16:
 		return &invalidSetting{"events", "must be at least 16"}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,10 @@
 	// calls.max_body. A request whose body finds no memory is refused with 503 and not run, and bodies
 	// and answers that make no progress give way. Default: 128.
 	MemoryMB int `yaml:"memory_mb"`
+	// MaxDescriptors is how many file descriptors the VM gives this process; zero: as the operating
+	// system limits it. A third of them is for connections of callers: for one more, the one on which
+	// nothing has happened for the longest time is closed. Default: 0.
+	MaxDescriptors int `yaml:"max_descriptors"`
 	// MaxEvents is how many events are kept for the timeline. Default: 4096.
 	MaxEvents int `yaml:"events"`
 }
