Daemons go on accepting other daemons after a failed Accept

Now only a closed listener ends it. After another error it logs and counts, and goes on after a pause that doubles up to a second.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -173,6 +173,9 @@
 	a.quarantine = quarantineReader{follower: store.NewFollower(opts.Log, store.QuarantineTopic, 0), logger: opts.Logger}
 	a.world = table.New(a.self, params, a.suspects, now, seed)
 	a.transport = peer.New(s.FailureDomain, a.input, a.clock, s.Listen.SourceAddr(), a.metrics)
+	a.transport.OnAcceptError = func(err error) {
+		a.logger.Warn().Str("step", "accept-peer").Err(err).Msg("accepting a connection of another daemon failed; trying again")
+	}
 	a.configMetrics = newConfigMetrics(a.metrics)
 	a.pressure = pressure.New(time.Now)
 	registerPressure(a.metrics, a.pressure)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -31,6 +31,10 @@
 	// writeTimeout bounds the time to send one message.
 	writeTimeout = 10 * time.Second
 	dialTimeout  = 2 * time.Second
+	// minAcceptPause and maxAcceptPause bound the pause after a failed Accept, which doubles with each
+	// further one.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // Sink receives the inputs of the control systems. It must not block for long.
@@ -46,7 +50,10 @@
 	domain      string
 	crossDomain *crossdomain.Counters
 	dialer      net.Dialer
-	lastID      atomic.Uint64
+	// OnAcceptError is called when accepting a connection has failed, which happens at most once in
+	// minAcceptPause. It must be set before Serve is called, and may be nil.
+	OnAcceptError func(error)
+	lastID        atomic.Uint64
 
 	mu     sync.Mutex
 	conns  map[table.LinkID]*conn
@@ -84,7 +91,8 @@
 }
 
 // Serve accepts connections until the listener is closed. It closes the listener itself if the
-// transport has been shut down before.
+// transport has been shut down before. After another error, such as a lack of descriptors, it goes on
+// after a pause.
 func (t *Transport) Serve(ln net.Listener) {
 	t.mu.Lock()
 	t.ln = ln
@@ -92,15 +100,31 @@
 		ln.Close()
 	}
 	t.mu.Unlock()
+	pause := minAcceptPause
 	for {
 		raw, err := ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			t.acceptFailed(err)
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		}
+		pause = minAcceptPause
 		t.register(raw, system.Opened{})
 	}
 }
 
+// acceptFailed records a failed Accept.
+func (t *Transport) acceptFailed(err error) {
+	t.counter("control.accepts_failed").Inc(1)
+	if t.OnAcceptError != nil {
+		t.OnAcceptError(err)
+	}
+}
+
 // Dial opens a connection in the background.
 func (t *Transport) Dial(d system.Dial) {
 	go func() {
