A caller who does not read holds a slot only until the deadline

Callers saw an upstream without free slots: a caller that takes nothing of a streamed answer (1 MiB or more) holds its slot for as long as it stays connected. The deadline ended the connection to the upstream, but the daemon was blocked in writing to the caller and did not notice.

Now writing ends a second after the call has; only what had been read from the upstream by then can be left.

--- a/internal/callpath/buffer.go
+++ b/internal/callpath/buffer.go
@@ -76,6 +76,30 @@
 	}
 }
 
+// lateWriteTimeout is how long a caller may take, after a call has ended, for the rest of a streamed
+// response that has been read from the upstream by then.
+const lateWriteTimeout = time.Second
+
+// writeStreamed writes a response to the caller as it arrives. A caller that does not take it holds
+// the upstream's slot only until ctx ends.
+func writeStreamed(ctx context.Context, w http.ResponseWriter, r *http.Request, res outcome.Result) {
+	conn := connOf(r)
+	if conn == nil {
+		writeAnswer(w, res)
+		return
+	}
+	limited := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		setWriteDeadline(conn, time.Now().Add(lateWriteTimeout))
+		close(limited)
+	})
+	writeAnswer(w, res)
+	if !stop() {
+		<-limited
+		setWriteDeadline(conn, time.Time{})
+	}
+}
+
 // setWriteDeadline sets the deadline of writes. An error can be ignored: the connection has been closed,
 // and the next write says so.
 func setWriteDeadline(c net.Conn, t time.Time) { _ = c.SetWriteDeadline(t) }
--- a/internal/callpath/ingress.go
+++ b/internal/callpath/ingress.go
@@ -257,7 +257,7 @@
 		writeBuffered(w, r, res, answer)
 		return
 	}
-	writeAnswer(w, res)
+	writeStreamed(ctx, w, r, res)
 }
 
 // admitAndRun runs a call if this daemon still accepts calls and the rate limit of its
--- a/internal/callpath/overload_test.go
+++ b/internal/callpath/overload_test.go
@@ -35,6 +35,8 @@
 	// fail at once instead.
 	delay atomic.Int64
 	fail  atomic.Bool
+	// extraBytes is the size of what follows the request ID in a response.
+	extraBytes atomic.Int64
 	// runs counts the requests and inFlight those that are running; peak is the maximum
 	// of inFlight.
 	runs     atomic.Int64
@@ -124,6 +126,7 @@
 	case <-r.Context().Done():
 	}
 	io.WriteString(rw, r.Header.Get(HeaderRequest))
+	rw.Write(make([]byte, w.extraBytes.Load()))
 }
 
 // update applies a view with the current workers to all owners and to the ingress.
--- a/internal/callpath/receivebody_test.go
+++ b/internal/callpath/receivebody_test.go
@@ -200,3 +200,24 @@
 	is.Equal(res.StatusCode, http.StatusOK)
 	is.Equal(r.metrics.ClosedForRoom.Count(), int64(1))
 }
+
+// TestCallerWhoDoesNotReadFreesTheSlot guards against callers that do not take a streamed response and
+// hold the upstream's slot for as long as they stay: the call ends at its deadline.
+func TestCallerWhoDoesNotReadFreesTheSlot(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 1, 0)
+	r.workers[0].extraBytes.Store(64 << 20)
+	conn, err := net.Dial("tcp", r.serveCallers(0))
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, postHead("/normal", "Content-Length: 0", HeaderTimeout+": 300"))
+	is.NoErr(err)
+	for r.workers[0].owner.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for began := time.Now(); r.workers[0].owner.InFlight() > 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("the slot is held long after the deadline")
+		}
+	}
+}
