An answer without a length ends only if its request was sent

Callers got part of an answer as a complete one: an upstream answers a long upload at once with a 200 without a length, sends part of the body and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once, to the reader or to the writer. If the writer gets it, the reader sees a plain end, which ends such an answer. The writer's error was not looked at.

That proves enough: where the writer has no error, a reset is left for the reader.

An upstream that reads the whole upload gets its answer through, also if it begins to answer before.

--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -69,6 +69,9 @@
 	idleSince time.Time
 	// reused is set if the connection was idle in the pool before, and so may have carried a response.
 	reused bool
+	// upload is the body of the current request that is being sent while the response is awaited, or nil
+	// if the body was sent before.
+	upload *upload
 	// closing makes the connection leave open once.
 	closing sync.Once
 	// notReusable is set once the connection must not be reused. Only the goroutine that
@@ -158,7 +161,7 @@
 		return nil, err
 	}
 	p.recordHeard()
-	res.Body = &pooledBody{Reader: res.Body, conn: c, stop: stop, reusable: !res.Close}
+	res.Body = &pooledBody{Reader: res.Body, conn: c, stop: stop, reusable: !res.Close, unframed: isUnframed(req, res)}
 	return res, nil
 }
 
@@ -170,30 +173,32 @@
 func (p *pool) lastHeard() time.Time { return p.createdAt.Add(time.Duration(p.heardAt.Load())) }
 
 func (c *clientConn) roundTrip(req *http.Request) (*http.Response, error) {
+	c.upload = nil
 	if req.ContentLength < outcome.LongBody {
 		if err := c.send(req); err != nil {
 			return nil, err
 		}
 		return c.receive(req, nil)
 	}
-	sent := make(chan error, 1)
+	up := &upload{done: make(chan struct{})}
+	c.upload = up
 	content := contentOf(req)
 	content.retain()
 	body := deferBody(req, c.bw.Flush)
 	go func() {
-		err := c.send(req)
+		up.err = c.send(req)
 		content.release()
-		sent <- err
+		close(up.done)
 	}()
 	res, err := c.receive(req, body)
 	body.resolve(false)
 	select {
-	case sendErr := <-sent:
+	case <-up.done:
 		// ErrNotAccepted proves that the request was not run, even if sending it has failed too.
-		if err != nil && sendErr != nil && !errors.Is(err, compress.ErrNotAccepted) {
-			err = sendErr
+		if err != nil && up.err != nil && !errors.Is(err, compress.ErrNotAccepted) {
+			err = up.err
 		}
-		c.notReusable = c.notReusable || sendErr != nil
+		c.notReusable = c.notReusable || up.err != nil
 	default:
 		// If the connection were reused, the unsent rest of the body would be read as the
 		// start of the next request.
@@ -410,6 +415,8 @@
 	conn     *clientConn
 	stop     func() bool
 	reusable bool
+	// unframed is set if only the end of the connection ends the body.
+	unframed bool
 	atEOF    bool
 	once     sync.Once
 }
@@ -420,6 +427,9 @@
 	if n > 0 {
 		b.conn.pool.recordHeard()
 	}
+	if err == io.EOF && b.unframed && b.conn.upload != nil {
+		err = b.conn.upload.endOf()
+	}
 	b.atEOF = b.atEOF || err == io.EOF
 	return n, err
 }
