The end of a crashed upstream's connection does not end its answer

Cause: the system closes the connections of a process that has ended in order, and the end of the connection was taken for that of the response. After other broken responses the owner checks whether the upstream's address refuses connections; here nothing looked broken.

Now it checks that too when a response without a length ends, 5 ms later, as the system closes the sockets of a process one after the other. If the address refuses connections, the response is incomplete and the crash is recorded.

--- a/internal/callpath/earlyanswer_test.go
+++ b/internal/callpath/earlyanswer_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +136,29 @@
 	_, err := readAnswer(u.run("a", make([]byte, 64<<20)))
 	is.True(err != nil)
 }
+
+// TestCrashIsNoEndOfAnAnswer guards against a part of an answer without a length that is passed on as the
+// whole because the upstream's process has crashed: its system closes the connection in order.
+func TestCrashIsNoEndOfAnAnswer(t *testing.T) {
+	is := is.New(t)
+	var crash atomic.Bool
+	var u *rawUpstream
+	u = newRawUpstream(t, func(c *net.TCPConn) {
+		defer c.Close()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		io.WriteString(c, unframedHead+"part")
+		if crash.Load() {
+			u.ln.Close()
+		}
+	})
+	answer, err := readAnswer(u.run("sound", []byte("x")))
+	is.NoErr(err)
+	is.Equal(string(answer), "part")
+	crash.Store(true)
+	_, err = readAnswer(u.run("crash", []byte("x")))
+	is.True(err != nil)
+}
--- a/internal/callpath/ownerrun.go
+++ b/internal/callpath/ownerrun.go
@@ -156,7 +156,7 @@
 		return o.withLoad(o.refuseAdmitted(loc, a, r), loc)
 	}
 	body := &answerBody{
-		ReadCloser: res.Body,
+		ReadCloser: o.confirmEnd(ctx, loc, a, res.Body),
 		onReadEnd:  func(err error) { o.bodyReadEnded(ctx, loc, a, res.StatusCode, err) },
 		onClose: func() {
 			o.endAttempt(loc, a)
