Responses that are not valid in HTTP are no answers

Callers got an answer with the status 000, or one in whose head the name of a field holds a blank, with that line passed on or with chunk lines as part of the body.

Cause: http.ReadResponse accepts any number of three characters as a status and names with blanks, so that a field that frames the body is not seen as one. It drops a transfer coding in version 1.0. A status below 100 counted as interim.

Now a head must be of version 1.x, have a status from 100 to 599 that is not an upgrade, and names without blanks. Anything else is a broken connection, after which the outcome is unknown.

--- a/internal/agent/upstreams.go
+++ b/internal/agent/upstreams.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreygate/comfreygate/internal/response"
 	"github.com/comfreygate/comfreygate/internal/system"
 	"github.com/comfreygate/comfreygate/internal/table"
 )
@@ -34,10 +35,10 @@
 // newHealthClient returns the client of health checks. Each has a connection of its own, as
 // few are made and the upstream's connections are limited.
 func newHealthClient(connectTimeout time.Duration) http.RoundTripper {
-	return &http.Transport{
+	return response.Transport{RoundTripper: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHealthHeaderBytes,
-	}
+	}}
 }
 
 // checkHealth makes a health check that a tick has requested. One that gets no answer tells
--- a/internal/agent/upstreams_test.go
+++ b/internal/agent/upstreams_test.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -44,3 +46,26 @@
 		})
 	}
 }
+
+// TestMalformedHealthAnswerIsNone guards against an upstream that counts as healthy, or as another process,
+// because of a response that is not valid in HTTP.
+func TestMalformedHealthAnswerIsNone(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX Other: y\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	req, err := http.NewRequest(http.MethodGet, "http://"+ln.Addr().String()+"/health", nil)
+	is.NoErr(err)
+	_, err = newHealthClient(time.Second).RoundTrip(req)
+	is.True(err != nil)
+}
--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/ledger"
+	"github.com/comfreygate/comfreygate/internal/response"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -154,6 +155,9 @@
 	}
 	defer res.Body.Close()
 	r.pool(u.Owner).recordHeard()
+	if err := response.Check(res); err != nil {
+		return "", errors.Wrapf(err, "inquire at owner %s", u.Daemon)
+	}
 	if res.StatusCode != http.StatusOK {
 		return "", errors.Errorf("inquire at owner %s: want status 200 OK, got %s", u.Daemon, res.Status)
 	}
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -15,6 +15,7 @@
 	"github.com/comfreygate/comfreygate/internal/compress"
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/response"
 	"github.com/comfreygate/comfreygate/internal/tcp"
 )
 
@@ -242,11 +243,18 @@
 	}
 }
 
-// readHead reads the head of a response.
+// readHead reads the head of a response. A malformed one is an error.
 func (c *clientConn) readHead(req *http.Request) (*http.Response, error) {
 	c.head.limited = c.pool.limits.head > 0
 	defer func() { c.head.limited = false }()
-	return http.ReadResponse(c.br, req)
+	if err := response.CheckVersion10(c.br); err != nil {
+		return nil, err
+	}
+	res, err := http.ReadResponse(c.br, req)
+	if err != nil {
+		return nil, err
+	}
+	return res, response.Check(res)
 }
 
 // maxForeignBytes bounds the bodies, in bytes, of the responses to other requests that are read and
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,6 +22,7 @@
 	"github.com/comfreygate/comfreygate/internal/crossdomain"
 	"github.com/comfreygate/comfreygate/internal/outcome"
 	"github.com/comfreygate/comfreygate/internal/quota"
+	"github.com/comfreygate/comfreygate/internal/response"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -119,10 +120,10 @@
 	counters := crossdomain.NewCounters(cfg.Metrics)
 	return &http.Client{
 		Timeout: coordinatorTimeout,
-		Transport: &http.Transport{
+		Transport: response.Transport{RoundTripper: &http.Transport{
 			DialContext:     counters.DialContext(cfg.Dialer.DialContext),
 			IdleConnTimeout: idleConnTimeout,
-		},
+		}},
 	}
 }
 
