Heads take their memory from the budget of bodies

Callers saw a daemon outgrow its VM: 1,000 clients with an unfinished head of 60 KB and 200 with an unfinished body of 1 MiB took it to 178 to 184 MB, where the VM has 160 MB. Each of the two crowds alone had fitted.

Cause: heads had a bound for each connection and none together, and the budget of bodies did not know of them.

Now what arrives of a head beyond 4 KiB, the size of the server's buffer, takes from the same budget, three bytes for each: the line is gathered first and then copied. A head that stalls gives way; its connection is closed without an answer, and a head whose memory was needed elsewhere when it ended is refused as not run. Heads of ordinary requests take nothing.

--- a/internal/callpath/callerlistener.go
+++ b/internal/callpath/callerlistener.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreygate/comfreygate/internal/config"
+	"github.com/comfreygate/comfreygate/internal/memory"
 )
 
 // Listener returns a listener of callers' connections that keep to the time limits of the
@@ -22,7 +23,7 @@
 func (in *Ingress) Listener(ln net.Listener, max int) net.Listener {
 	return &callerListener{
 		Listener: ln, limits: func() config.Limits { return in.view.Load().Limits },
-		max: max, open: map[*callerConn]struct{}{}, metrics: in.cfg.Metrics,
+		max: max, open: map[*callerConn]struct{}{}, memory: in.cfg.Memory, metrics: in.cfg.Metrics,
 	}
 }
 
@@ -32,6 +33,7 @@
 	if c, ok := c.(*callerConn); ok && state == http.StateIdle {
 		c.idle.Store(true)
 		c.busy.Store(false)
+		c.head.reset()
 	}
 }
 
@@ -47,6 +49,7 @@
 	net.Listener
 	limits  func() config.Limits
 	max     int
+	memory  *memory.Budget
 	metrics *Metrics
 
 	mu   sync.Mutex
@@ -61,6 +64,7 @@
 			return nil, err
 		}
 		conn := &callerConn{Conn: c, limits: l.limits, listener: l}
+		conn.head.open = func() *memory.Share { return openHead(l.memory, c) }
 		conn.idle.Store(true)
 		conn.touch()
 		if l.makeRoom(conn) {
@@ -115,6 +119,8 @@
 	net.Conn
 	listener *callerListener
 	limits   func() config.Limits
+	// head counts the memory of the head that is being read.
+	head headMemory
 	// idle is set while the connection has no request and no deadline as an idle one yet.
 	idle atomic.Bool
 	// awaiting is set while it has a deadline as an idle one and no byte has been read.
@@ -132,6 +138,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.listener.remove(c)
+	c.head.reset()
 	return c.Conn.Close()
 }
 
@@ -166,6 +173,10 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.touch()
+		if !c.head.take(n) {
+			// The server closes the connection without a response after an error of this type.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
+		}
 	}
 	if n > 0 && c.awaiting.Swap(false) {
 		if limit := c.limits().HeaderTimeout; limit > 0 {
--- a/internal/callpath/request.go
+++ b/internal/callpath/request.go
@@ -39,6 +39,10 @@
 // says why it is refused.
 func (in *Ingress) parse(v *view.View, fresh bool, w http.ResponseWriter, r *http.Request, now time.Time) (call, outcome.Result) {
 	c := call{attempt: Attempt{Request: in.requestID(r), Host: r.Host, URL: r.URL}}
+	if !endHead(r) {
+		w.Header().Set("Connection", "close")
+		return c, outcome.Refuse(outcome.ReasonMemory, memoryRetryAfter)
+	}
 	if !v.Ready {
 		return c, outcome.Refuse(outcome.ReasonNotReady, pick.DefaultRetryAfter)
 	}
--- a/itest/clients/clients_test.go
+++ b/itest/clients/clients_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,8 +26,8 @@
 	maxMemory = 160_000_000
 	// descriptorLimit is the limit of each daemon's open files in these tests. At any moment some must be
 	// left for connections to upstreams, other daemons and the store.
-	descriptorLimit = 400
-	maxDescriptors  = descriptorLimit - 50
+	descriptorLimit  = 400
+	spareDescriptors = 50
 	// samplingInterval is the interval at which open descriptors are counted.
 	samplingInterval = 5 * time.Millisecond
 
@@ -47,6 +48,11 @@
 	unreadAnswers = 20
 	// headBytes is the size of an unfinished head, which the settings of the daemons allow.
 	headBytes = 60_000
+	// manyClients is how many clients there are where daemons may open manyDescriptors. One in bodyShare
+	// sends a body, the others a head.
+	manyClients     = 1200
+	manyDescriptors = 4100
+	bodyShare       = 6
 )
 
 const config = `publish service tickets;
@@ -55,11 +61,11 @@
 publish route tickets path /tickets to tickets policy plain callers clerk`
 
 // fleet starts a daemon with one upstream in each of three failure domains, and one without an upstream,
-// which it returns.
-func fleet(t *testing.T) (*harness.Cluster, *harness.VM) {
+// which it returns. Each may open so many descriptors.
+func fleet(t *testing.T, descriptors int) (*harness.Cluster, *harness.VM) {
 	t.Helper()
 	c := harness.New(t)
-	c.MaxDescriptors = descriptorLimit
+	c.MaxDescriptors = descriptors
 	for _, domain := range []string{"ikeja", "lekki", "yaba", "edge"} {
 		c.AddVM(domain+"-1", domain)
 	}
@@ -82,7 +88,14 @@
 // clients are still connected.
 func play(t *testing.T, size int, misbehave client) {
 	t.Helper()
-	c, attacked := fleet(t)
+	playWith(t, descriptorLimit, size, misbehave)
+}
+
+// playWith is play with another limit of descriptors.
+func playWith(t *testing.T, descriptorLimit, size int, misbehave client) {
+	t.Helper()
+	maxDescriptors := descriptorLimit - spareDescriptors
+	c, attacked := fleet(t, descriptorLimit)
 	descriptors := watchDescriptors(attacked)
 	var finished sync.WaitGroup
 	for range size {
@@ -249,6 +262,22 @@
 	play(t, crowd, sends([]byte(unfinished)))
 }
 
+// TestUnfinishedHeadsAndBodiesFitInMemory guards against a daemon that bounds the memory of heads and of
+// bodies, but not of both together. Nearly as many clients are connected as a daemon with many
+// descriptors accepts.
+func TestUnfinishedHeadsAndBodiesFitInMemory(t *testing.T) {
+	unfinished := []byte(strings.TrimSuffix(head("GET", "", "X-Long: "+strings.Repeat("x", headBytes)), "\r\n"))
+	body := bytes.Repeat([]byte("x"), maxBody-1)
+	var clients atomic.Int64
+	playWith(t, manyDescriptors, manyClients, func(conn *net.TCPConn) {
+		if clients.Add(1)%bodyShare == 0 {
+			sends([]byte(head("POST", "", length(maxBody))), body)(conn)
+			return
+		}
+		sends(unfinished)(conn)
+	})
+}
+
 // TestUnreadAnswersFitInMemory guards against a daemon that runs out of memory because many clients do
 // not read the answers that it has buffered for them. Each sends requests until one of its answers has
 // to stay with the daemon, as the kernel takes no more.
