Ordinary connections wait while all others have calls in flight

Ordinary callers saw their connection closed while a crowd had calls in flight on all connections: there was nothing to close in place of it. A newcomer could also be closed for the next one before it had sent its request.

Now a connection is closed to make room only after nothing has happened on it for 100 ms. While there is none, new connections wait in the queue of the system; once that has lasted a second without a call that ended they are closed as before, so that their callers try another daemon.

--- a/internal/callpath/callerlistener.go
+++ b/internal/callpath/callerlistener.go
@@ -18,7 +18,7 @@
 // configuration in force: config.Limits.HeaderTimeout from the first byte of a request's headers,
 // IdleTimeout for a connection without a request. Zero limits leave the deadlines that the server sets.
 // At most max connections are open at once, or any number if max is 0: for one more, the one on which
-// nothing has happened for the longest time is closed, unless all have calls in flight.
+// nothing has happened for the longest time is closed. If all have calls in flight, it waits for a while.
 // The server must call ConnState.
 func (in *Ingress) Listener(ln net.Listener, max int) net.Listener {
 	return &callerListener{
@@ -52,6 +52,9 @@
 	memory  *memory.Budget
 	metrics *Metrics
 
+	// fullSince is since when there has been no room for a new connection, or zero. Only Accept uses it.
+	fullSince time.Time
+
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
 }
@@ -67,7 +70,7 @@
 		conn.head.open = func() *memory.Share { return openHead(l.memory, c) }
 		conn.idle.Store(true)
 		conn.touch()
-		if l.makeRoom(conn) {
+		if l.awaitRoom(conn) {
 			return conn, nil
 		}
 		l.metrics.ClosedForRoom.Inc(1)
@@ -75,8 +78,35 @@
 	}
 }
 
+const (
+	// minQuiet is how long nothing must have happened on a connection that is closed to make room. A
+	// caller has that much time to send its request.
+	minQuiet = 100 * time.Millisecond
+	// maxFull is how long new connections may wait for room: then none of the calls in flight has ended
+	// for as long, and the callers had better try another daemon.
+	maxFull = time.Second
+	// roomPollInterval is the interval at which a connection that waits for room tries again.
+	roomPollInterval = 5 * time.Millisecond
+)
+
+// awaitRoom waits until there is room for a connection. Further ones wait in the queue of the system.
+// False: there has been none for maxFull.
+func (l *callerListener) awaitRoom(conn *callerConn) bool {
+	for !l.makeRoom(conn) {
+		if l.fullSince.IsZero() {
+			l.fullSince = time.Now()
+		}
+		if time.Since(l.fullSince) > maxFull {
+			return false
+		}
+		time.Sleep(roomPollInterval)
+	}
+	l.fullSince = time.Time{}
+	return true
+}
+
 // makeRoom adds a connection to the open ones and closes another one for it if necessary. False: all
-// others have calls in flight.
+// others have calls in flight or are not quiet.
 func (l *callerListener) makeRoom(conn *callerConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -93,8 +123,8 @@
 	return true
 }
 
-// quietest returns the connection on which nothing has happened for the longest time, or nil if all have
-// calls in flight. The caller holds the lock.
+// quietest returns the connection without a call in flight on which nothing has happened for the longest
+// time, or nil if that is not long enough. The caller holds the lock.
 func (l *callerListener) quietest() *callerConn {
 	var quietest *callerConn
 	for c := range l.open {
@@ -102,6 +132,9 @@
 			quietest = c
 		}
 	}
+	if quietest == nil || time.Since(time.Unix(0, quietest.activeAt.Load())) < minQuiet {
+		return nil
+	}
 	return quietest
 }
 
--- a/internal/callpath/receivebody_test.go
+++ b/internal/callpath/receivebody_test.go
@@ -221,3 +221,30 @@
 		}
 	}
 }
+
+// TestNewConnectionsWaitForACall guards against ordinary callers who are turned away in the moment in which
+// all connections have calls in flight, and against a wait without end.
+func TestNewConnectionsWaitForACall(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 4, maxFull/2)
+	addr := r.serveCallers(1)
+	begin := func() net.Conn {
+		conn, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = io.WriteString(conn, postHead("/normal", "Content-Length: 0"))
+		is.NoErr(err)
+		return conn
+	}
+	outcomes := func(conns ...net.Conn) (answered int) {
+		for _, c := range conns {
+			if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && res.StatusCode == http.StatusOK {
+				answered++
+			}
+		}
+		return answered
+	}
+	is.Equal(outcomes(begin(), begin()), 2)
+	r.workers[0].delay.Store(int64(maxFull + maxFull/2))
+	is.Equal(outcomes(begin(), begin()), 1) // the second one is closed
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,7 +51,8 @@
 	MemoryMB int `yaml:"memory_mb"`
 	// MaxDescriptors is how many file descriptors the VM gives this process; zero: as the operating
 	// system limits it. A third of them is for connections of callers: for one more, the one on which
-	// nothing has happened for the longest time is closed. Default: 0.
+	// nothing has happened for the longest time is closed, and while all have calls in flight it waits for
+	// up to a second. Default: 0.
 	MaxDescriptors int `yaml:"max_descriptors"`
 	// MaxEvents is how many events are kept for the timeline. Default: 4096.
 	MaxEvents int `yaml:"events"`
