Test of the largest bodies on the smallest VM

The bodies of the other tests are of 1 MiB, which says nothing of a budget that a single body nearly fills.

--- a/itest/clients/clients_test.go
+++ b/itest/clients/clients_test.go
@@ -48,6 +48,10 @@
 	unreadAnswers = 20
 	// headBytes is the size of an unfinished head, which the settings of the daemons allow.
 	headBytes = 60_000
+	// largestBody is the largest body that deployments allow, in bytes, and largestCrowd how many clients
+	// send one at once.
+	largestBody  = 64 << 20
+	largestCrowd = 5
 	// manyClients is how many clients there are where daemons may open manyDescriptors. One in bodyShare
 	// sends a body, the others a head.
 	manyClients     = 1200
@@ -66,6 +70,11 @@
 	t.Helper()
 	c := harness.New(t)
 	c.MaxDescriptors = descriptors
+	return c, start(c)
+}
+
+// start starts the daemons of a fleet.
+func start(c *harness.Cluster) *harness.VM {
 	for _, domain := range []string{"ikeja", "lekki", "yaba", "edge"} {
 		c.AddVM(domain+"-1", domain)
 	}
@@ -77,7 +86,7 @@
 	c.AwaitVersion(version, c.VMs...)
 	c.AwaitMembers(4, c.VMs...)
 	c.AwaitUpstreams(3, c.VMs...)
-	return c, c.VMs[3]
+	return c.VMs[3]
 }
 
 // client is one client of a crowd. It sends what it sends over a connection of its own and then leaves
@@ -123,6 +132,12 @@
 	if peak > maxDescriptors {
 		t.Errorf("%s had %d descriptors open, at most %d are allowed", attacked.Name, peak, maxDescriptors)
 	}
+	checkMemory(t, c)
+}
+
+// checkMemory checks that all daemons run and have stayed within the memory of their VMs.
+func checkMemory(t *testing.T, c *harness.Cluster) {
+	t.Helper()
 	for _, v := range c.VMs {
 		if !v.Running() {
 			t.Errorf("%s has ended", v.Name)
@@ -255,6 +270,32 @@
 	}
 }
 
+// TestLargestBodiesOnTheSmallestVM guards against a bound on memory that leaves no room for one request of
+// the largest size that a deployment allows, and against a daemon that a few such requests end.
+func TestLargestBodiesOnTheSmallestVM(t *testing.T) {
+	c := harness.New(t)
+	c.MaxBody = largestBody
+	c.Settings = fmt.Sprintf("memory_mb: %d\ngc_percent: 50\n", maxMemory/1_000_000)
+	attacked := start(c)
+	largest := func(id string) harness.Response {
+		return attacked.Send(harness.NewCallerClient(), harness.Call{
+			Method: "POST", Path: "/tickets/7?discard", ID: id, Caller: "clerk", Body: strings.Repeat("x", largestBody),
+		})
+	}
+	if res := largest("alone"); res.Outcome != "answered" || res.Body != "alone\n" {
+		t.Errorf("a request of the largest size got %d %s %s, %v", res.Status, res.Outcome, res.Reason, res.Err)
+	}
+	var finished sync.WaitGroup
+	for n := range largestCrowd {
+		finished.Go(func() { largest(fmt.Sprint("together-", n)) })
+	}
+	finished.Wait()
+	if res := largest("afterwards"); res.Outcome != "answered" || res.Body != "afterwards\n" {
+		t.Errorf("a request of the largest size got %d %s %s afterwards, %v", res.Status, res.Outcome, res.Reason, res.Err)
+	}
+	checkMemory(t, c)
+}
+
 // TestUnfinishedHeadsFitInMemory guards against a daemon that runs out of memory because many clients
 // stop short of the end of a request's head.
 func TestUnfinishedHeadsFitInMemory(t *testing.T) {
--- a/itest/cmd/upstreamd/main.go
+++ b/itest/cmd/upstreamd/main.go
@@ -118,7 +118,7 @@
 
 // ServeHTTP runs a request: it appends "run", the request ID, the upstream's ID and the time in
 // Unix milliseconds to the journal, then answers with the request ID followed by the request's body. Query
-// parameters: delay_ms adds a delay; answer_bytes extends the answer to that length by
+// parameters: delay_ms adds a delay; discard leaves the body out of the answer; answer_bytes extends the answer to that length by
 // repetitions of the line with the request ID; crash_ms crashes the upstream after that time; cut
 // closes the connection in the middle of the response, which has no Content-Length if the
 // value is "chunked"; endless sends a response that has no end, see endlessResponses.
@@ -158,6 +158,9 @@
 		fmt.Fprintf(u.journal, "cancelled %s %s\n", request, u.id)
 		return
 	}
+	if r.URL.Query().Has("discard") {
+		body = nil
+	}
 	response := append([]byte(request+"\n"), body...)
 	size, _ := strconv.Atoi(r.URL.Query().Get("answer_bytes"))
 	if missing := size - len(response); missing > 0 {
--- a/itest/harness/cluster.go
+++ b/itest/harness/cluster.go
@@ -20,6 +20,7 @@
 
 	"github.com/comfreygate/comfreygate/api"
 	"github.com/comfreygate/comfreygate/internal/agent"
+	"github.com/comfreygate/comfreygate/internal/settings"
 	"github.com/comfreygate/comfreygate/itest/fault"
 )
 
@@ -44,6 +45,8 @@
 	// Probe is the interval at which a daemon compares its state with a random other
 	// daemon. Default: 1s.
 	Probe string
+	// MaxBody bounds the bodies of requests, in bytes; zero: as by default.
+	MaxBody int64
 	// MaxDescriptors limits the open file descriptors of each daemon's process; zero: as the
 	// test's own.
 	MaxDescriptors int
@@ -171,7 +174,7 @@
   upstream_lapse: 1s
   grace: 1s
   probe: %[9]s
-calls: {drain: 500ms, connect_timeout: 300ms, inquire_after: 300ms, link_mbps: %[10]v, max_response: 16777216}
+calls: {drain: 500ms, connect_timeout: 300ms, inquire_after: 300ms, link_mbps: %[10]v, max_response: 16777216, max_body: %[12]d}
 %[8]s
 `
 
@@ -245,7 +248,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", other.Peers.Addr()))
 	}
 	text := fmt.Sprintf(settingsFormat, v.Name, v.Domain, v.IP, v.Peers.Addr(), v.Owner.Addr(),
-		c.LogProxy.Addr(), strings.Join(seeds, ", "), v.Platform.settings()+c.Settings, cmp.Or(c.Probe, "1s"), c.LinkMbps, c.unusedLocalAddr())
+		c.LogProxy.Addr(), strings.Join(seeds, ", "), v.Platform.settings()+c.Settings, cmp.Or(c.Probe, "1s"), c.LinkMbps, c.unusedLocalAddr(), cmp.Or(c.MaxBody, settings.Default().Calls.MaxBody))
 	file := c.path(v.Name + ".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		c.T.Fatal(err)
