A response whose head has come is not given up as lost

Cause: if the head of a response is late the ingress asks the owner about the attempt, and it went on asking when the head had come. An owner calls the attempt finished once it has read the rest from the upstream, while that waits for the link; twice finished counted as a lost response, and the connection was given up.

Now asking ends when the head has come, as it never began for a response whose head is early.

--- a/internal/callpath/inquiry.go
+++ b/internal/callpath/inquiry.go
@@ -76,7 +76,9 @@
 
 // monitorAttempt asks the owner over new connections whether it is working on an attempt
 // that has had no response, and cancels the attempt if its connection turns out to be
-// silent. If the owner cannot be asked, a repeatable call is better sent elsewhere; the
+// silent. It ends with ctx, when the head of the response has come: the owner may then call
+// the attempt finished while the rest of the response waits for its link. If the owner cannot
+// be asked, a repeatable call is better sent elsewhere; the
 // response to a call that is not repeatable may still arrive, so that it is given up only
 // once the owner has sent nothing to any attempt for maxOwnerSilence, and not while this daemon
 // stops. A repeatable attempt that has finished at the owner but whose response does not arrive
@@ -113,7 +115,9 @@
 			return
 		}
 	}
-	cancel(errSilent)
+	if ctx.Err() == nil {
+		cancel(errSilent)
+	}
 }
 
 // later returns the later of two times.
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -73,7 +73,7 @@
 	// upload is the body of the current request that is being sent while the response is awaited, or nil
 	// if the body was sent before.
 	upload *upload
-	// closing makes the connection leave open once.
+	// closing counts the connection as closed, once.
 	closing sync.Once
 	// notReusable is set once the connection must not be reused. Only the goroutine that
 	// holds the connection accesses it.
--- a/internal/callpath/remote.go
+++ b/internal/callpath/remote.go
@@ -142,11 +142,13 @@
 		cancelCtx(cause)
 	}
 	interval := r.inquiryInterval(a)
-	timer := time.AfterFunc(interval, func() { r.monitorAttempt(ctx, cancel, u, a, interval) })
+	monitorCtx, stopMonitor := context.WithCancel(ctx)
+	timer := time.AfterFunc(interval, func() { r.monitorAttempt(monitorCtx, cancel, u, a, interval) })
 	res, err := p.doFor(ctx, r.purpose(u, a), r.ownerRequest(u, a), func(req *http.Request, waited time.Duration) outcome.Reason {
 		return setTimeHeaders(ctx, req.Header, a, waited)
 	}, nil)
 	timer.Stop()
+	stopMonitor()
 	if err != nil {
 		defer cancel(nil)
 		return r.resolveFailure(ctx, p, u, a, err)
--- a/internal/callpath/remote_test.go
+++ b/internal/callpath/remote_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
 	"testing"
 	"time"
 
@@ -10,6 +15,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreygate/comfreygate/internal/event"
+	"github.com/comfreygate/comfreygate/internal/ledger"
+	"github.com/comfreygate/comfreygate/internal/outcome"
+	"github.com/comfreygate/comfreygate/internal/suspect"
 	"github.com/comfreygate/comfreygate/internal/view"
 )
 
@@ -45,3 +53,35 @@
 		is.Equal(context.Cause(ctx) == errSilent, repeatable)
 	}
 }
+
+// TestResponseUnderWayIsNotGivenUp guards against long responses that are cut in the middle. The owner has
+// read the response from its upstream and calls the attempt finished, while the rest waits for its link:
+// that is no sign that the response is lost.
+func TestResponseUnderWayIsNotGivenUp(t *testing.T) {
+	const inquireAfter = 50 * time.Millisecond
+	for _, repeatable := range []bool{true, false} {
+		is := is.New(t)
+		owner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == pathAttempt {
+				json.NewEncoder(w).Encode(InquiryReply{State: ledger.Finished})
+				return
+			}
+			time.Sleep(inquireAfter + inquiryRetryDelay/2) // the first inquiry comes before the head
+			w.Header().Set(HeaderOutcome, string(outcome.Answered))
+			io.WriteString(w, "begun ")
+			http.NewResponseController(w).Flush()
+			time.Sleep(5 * inquiryRetryDelay)
+			io.WriteString(w, "ended")
+		}))
+		defer owner.Close()
+		r := newRemote(&net.Dialer{}, inquireAfter, event.NewRing("vm", event.NewClock(time.Now), 8), NewMetrics(metrics.NewRegistry()))
+		r.suspects, r.callsCtx = suspect.NewTable(time.Now), context.Background()
+		res := r.send(context.Background(), view.Upstream{Owner: owner.Listener.Addr().String()}, &Attempt{
+			ID: "a-1", Repeatable: repeatable, Deadline: time.Now().Add(time.Minute),
+			Method: http.MethodGet, URL: &url.URL{Path: "/normal"}, Header: http.Header{},
+		})
+		answer, err := readAnswer(res)
+		is.NoErr(err)
+		is.Equal(string(answer), "begun ended")
+	}
+}
