The refusal of a long body is confirmed like any other

Cause: such a refusal on a kept connection is confirmed by a health check, but not for bodies of 16 KiB or more, as no health check can follow before the body has been sent. It was believed, also where the whole body had been sent.

--- a/internal/callpath/confirm.go
+++ b/internal/callpath/confirm.go
@@ -7,8 +7,6 @@
 	"strings"
 
 	"github.com/pkg/errors"
-
-	"github.com/comfreygate/comfreygate/internal/outcome"
 )
 
 // confirmIDSuffix follows the ID of a request in that of the health check that confirms its refusal.
@@ -23,10 +21,9 @@
 
 // isAmbiguous reports whether a response is a refusal that may belong to no request: it lacks the
 // request ID, and the connection has carried another response before, after which a faulty upstream
-// may send additional bytes. Refusals of requests with a long body are not ambiguous: they may arrive
-// before the body has been sent, and no health check can follow then.
-func (c *clientConn) isAmbiguous(req *http.Request, res *http.Response) bool {
-	if !c.reused || req.ContentLength >= outcome.LongBody || !c.pool.dialect.unnamed(res.Header) {
+// may send additional bytes.
+func (c *clientConn) isAmbiguous(res *http.Response) bool {
+	if !c.reused || !c.pool.dialect.unnamed(res.Header) {
 		return false
 	}
 	_, refused := c.pool.dialect.refusal(res)
@@ -37,9 +34,14 @@
 // same connection. An upstream answers in order: if it is running the request after all, the next response
 // bears the request's ID and is returned. Otherwise the refusal is returned, without its body.
 // An error means that the request may have run. That includes a refusal after which the upstream closes the
-// connection, since no health check is answered then.
+// connection, or does not read the rest of a long body, since no health check is answered then.
 func (c *clientConn) confirmRefusal(req *http.Request, refusal *http.Response, healthPath string) (*http.Response, error) {
 	c.notReusable = true
+	if c.upload != nil {
+		if err := c.upload.await(refusalUploadTimeout); err != nil {
+			return nil, errors.Wrap(err, "confirm refusal")
+		}
+	}
 	if _, err := io.CopyN(io.Discard, refusal.Body, maxConfirmBytes); err != io.EOF {
 		return nil, errors.Wrap(cmp.Or(err, errBodyTooLong), "read refusal")
 	}
--- a/internal/callpath/confirm_test.go
+++ b/internal/callpath/confirm_test.go
@@ -30,7 +30,9 @@
 	end string
 	// shedsHealth is set if a health check is refused.
 	shedsHealth bool
-	delay       time.Duration
+	// bodyBytes is the size of the request's body.
+	bodyBytes int
+	delay     time.Duration
 }
 
 const (
@@ -143,6 +145,7 @@
 					endAnswer, endAnswer, endAnswer, endRefuse, endRefuse, endRefuseNamed, endRefuseClose, endMisdirected, endBreak, endServerError,
 				}).Draw(t, "end"),
 				shedsHealth: rapid.Bool().Draw(t, "sheds health checks"),
+				bodyBytes:   rapid.SampledFrom([]int{0, 0, 1_200, 60_000}).Draw(t, "body"),
 				delay:       time.Duration(rapid.IntRange(0, 300).Draw(t, "delay")) * time.Microsecond,
 			}
 		})
@@ -171,7 +174,7 @@
 			id := fmt.Sprint("r", attempts)
 			got := w.owner.execute(context.Background(), &Attempt{
 				ID: id, Request: id, Upstream: "raw", Urgency: config.Normal, Deadline: time.Now().Add(5 * time.Second),
-				Method: http.MethodPost, URL: &url.URL{Path: "/normal"}, Header: http.Header{},
+				Method: http.MethodPost, URL: &url.URL{Path: "/normal"}, Header: http.Header{}, Body: NewBody(make([]byte, end.bodyBytes)),
 			})
 			var body []byte
 			if got.Outcome == outcome.Answered {
--- a/internal/callpath/pool.go
+++ b/internal/callpath/pool.go
@@ -151,7 +151,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	res, err := c.roundTrip(req)
-	if err == nil && c.isAmbiguous(req, res) {
+	if err == nil && c.isAmbiguous(res) {
 		if path := confirm(); path != "" {
 			res, err = c.confirmRefusal(req, res, path)
 		}
