--- a/internal/callpath/blockbuffer.go
+++ b/internal/callpath/blockbuffer.go
@@ -24,8 +24,8 @@
 // a bytes.Buffer it does not copy what it holds as it grows, which leaves as much again as garbage.
 type blockBuffer struct {
 	blocks [][]byte
-	// share holds the memory of the blocks.
-	share *memory.Share
+	// account holds the memory of the blocks.
+	account *memory.Account
 	// used is the number of bytes in the last block, read those of the first block that have
 	// been read.
 	used, read int
@@ -57,7 +57,7 @@
 	if n := len(b.blocks); n > 0 {
 		size = min(2*len(b.blocks[n-1]), maxBlockBytes)
 	}
-	if !b.share.Take(int64(size)) {
+	if !b.account.Take(int64(size)) {
 		return false
 	}
 	if size == maxBlockBytes {
@@ -92,7 +92,7 @@
 	if len(block) == maxBlockBytes {
 		freeBlocks.Put((*[maxBlockBytes]byte)(block))
 	}
-	b.share.Give(int64(len(block)))
+	b.account.Give(int64(len(block)))
 	b.blocks[0] = nil
 	b.blocks, b.read = b.blocks[1:], 0
 }
--- a/internal/callpath/body.go
+++ b/internal/callpath/body.go
@@ -24,9 +24,9 @@
 // Body is the body of a request, which is kept for as long as it may be sent again. A nil body is
 // empty. It is safe for concurrent use once it has been read.
 type Body struct {
-	blocks [][]byte
-	size   int
-	share  *memory.Share
+	blocks  [][]byte
+	size    int
+	account *memory.Account
 	// users counts the attempt and the goroutines that are sending the body.
 	users atomic.Int32
 }
@@ -39,13 +39,13 @@
 }
 
 // readBody reads a body whose announced length may be -1, for unknown. It takes the memory from the
-// share. If the body is longer than limit, the error is errRequestTooLong. The caller must release
-// the body; it must close the share only if there is an error.
-func readBody(r io.Reader, announced, limit int64, share *memory.Share) (*Body, error) {
+// account. If the body is longer than limit, the error is errRequestTooLong. The caller must release
+// the body; it must close the account only if there is an error.
+func readBody(r io.Reader, announced, limit int64, account *memory.Account) (*Body, error) {
 	if announced > limit {
 		return nil, errRequestTooLong
 	}
-	b := &Body{share: share}
+	b := &Body{account: account}
 	b.users.Store(1)
 	for used := 0; ; {
 		if n := len(b.blocks); n == 0 || used == len(b.blocks[n-1]) {
@@ -53,7 +53,7 @@
 				return b, nil
 			}
 			block := make([]byte, b.nextBlock(announced))
-			if !share.Take(int64(len(block))) {
+			if !account.Take(int64(len(block))) {
 				return nil, errNoMemory
 			}
 			b.blocks, used = append(b.blocks, block), 0
@@ -106,7 +106,7 @@
 // release gives the body's memory back once every user has released it.
 func (b *Body) release() {
 	if b != nil && b.users.Add(-1) == 0 {
-		b.share.Close()
+		b.account.Close()
 	}
 }
 
--- a/internal/callpath/buffer.go
+++ b/internal/callpath/buffer.go
@@ -22,7 +22,7 @@
 // more, or finds no memory. A truncated response becomes an unknown outcome. The returned size is the
 // number of bytes read.
 func bufferAnswer(ctx context.Context, budget *memory.Budget, r outcome.Result) (outcome.Result, int) {
-	buf := &bufferedAnswer{blockBuffer{share: budget.Open()}}
+	buf := &bufferedAnswer{blockBuffer{account: budget.Open()}}
 	n, err := buf.ReadFrom(io.LimitReader(r.Body, maxBufferedAnswer))
 	if err == nil && n == maxBufferedAnswer || errors.Is(err, errBufferFull) {
 		r.Body = &partlyRead{Reader: io.MultiReader(buf, r.Body), buffered: buf, rest: r.Body}
@@ -50,7 +50,7 @@
 
 // Close implements io.Closer.
 func (b *bufferedAnswer) Close() error {
-	b.share.Close()
+	b.account.Close()
 	return nil
 }
 
@@ -67,10 +67,10 @@
 // elsewhere while the caller takes nothing, the connection is closed.
 func writeBuffered(w http.ResponseWriter, r *http.Request, res outcome.Result, answer *bufferedAnswer) {
 	if conn := connOf(r); conn != nil {
-		answer.share.Unpin(func() { setWriteDeadline(conn, longAgo) })
+		answer.account.Unpin(func() { setWriteDeadline(conn, longAgo) })
 	}
 	writeAnswer(w, res)
-	if answer.share.Evicted() {
+	if answer.account.Evicted() {
 		// The deadline of the connection has passed, so that it cannot be kept.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/callpath/callerlistener.go
+++ b/internal/callpath/callerlistener.go
@@ -67,7 +67,7 @@
 			return nil, err
 		}
 		conn := &callerConn{Conn: c, limits: l.limits, listener: l}
-		conn.head.open = func() *memory.Share { return openHead(l.memory, c) }
+		conn.head.open = func() *memory.Account { return openHead(l.memory, c) }
 		conn.idle.Store(true)
 		conn.touch()
 		if l.awaitRoom(conn) {
--- a/internal/callpath/headmemory.go
+++ b/internal/callpath/headmemory.go
@@ -19,20 +19,20 @@
 
 // headMemory takes memory for the head of a request as it arrives. It is safe for concurrent use.
 type headMemory struct {
-	// open returns an empty share that may be evicted.
-	open func() *memory.Share
+	// open returns an empty account that may be evicted.
+	open func() *memory.Account
 
-	mu    sync.Mutex
-	read  int
-	ended bool
-	share *memory.Share
+	mu      sync.Mutex
+	read    int
+	ended   bool
+	account *memory.Account
 }
 
-// openHead returns a share for a head. If it is evicted, the connection reads no further.
-func openHead(budget *memory.Budget, c net.Conn) *memory.Share {
-	share := budget.Open()
-	share.Unpin(func() { setReadDeadline(c, longAgo) })
-	return share
+// openHead returns an account for a head. If it is evicted, the connection reads no further.
+func openHead(budget *memory.Budget, c net.Conn) *memory.Account {
+	account := budget.Open()
+	account.Unpin(func() { setReadDeadline(c, longAgo) })
+	return account
 }
 
 // take takes memory for n more bytes. False: none is left.
@@ -45,10 +45,10 @@
 	if h.read += n; h.read <= freeHeadBytes {
 		return true
 	}
-	if h.share == nil {
-		h.share = h.open()
+	if h.account == nil {
+		h.account = h.open()
 	}
-	return h.share.Take(int64(n) * headMemoryFactor)
+	return h.account.Take(int64(n) * headMemoryFactor)
 }
 
 // end records that the head has been read. False: its memory was needed elsewhere, and the connection
@@ -57,15 +57,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ended = true
-	return h.share.Pin()
+	return h.account.Pin()
 }
 
 // reset gives the memory back, before the next head or at the end of the connection.
 func (h *headMemory) reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.share.Close()
-	h.read, h.ended, h.share = 0, false, nil
+	h.account.Close()
+	h.read, h.ended, h.account = 0, false, nil
 }
 
 // endHead records that the head of a request has been read, and reports whether its memory is still its own.
--- a/internal/callpath/ownerhttp.go
+++ b/internal/callpath/ownerhttp.go
@@ -172,20 +172,20 @@
 	if r.ContentLength == 0 {
 		return outcome.Result{}, true
 	}
-	share := o.cfg.Memory.Open()
+	account := o.cfg.Memory.Open()
 	if r.ContentLength >= outcome.LongBody {
 		if reason, after := loc.gate.Check(admissionRequest(a)); reason != "" {
 			return outcome.Refuse(reason, after), false
 		}
-		if !share.Reserve(r.ContentLength) {
+		if !account.Reserve(r.ContentLength) {
 			return outcome.Refuse(outcome.ReasonMemory, memoryRetryAfter), false
 		}
 		if refusal, ok := o.awaitTurn(r, a); !ok {
-			share.Close()
+			account.Close()
 			return refusal, false
 		}
 	}
-	body, err := receiveInto(share, r, math.MaxInt64, a.Deadline.Sub(o.cfg.Now()))
+	body, err := receiveInto(account, r, math.MaxInt64, a.Deadline.Sub(o.cfg.Now()))
 	if err != nil {
 		return bodyRefusal(err), false
 	}
--- a/internal/callpath/receivebody.go
+++ b/internal/callpath/receivebody.go
@@ -33,19 +33,19 @@
 	return receiveInto(budget.Open(), r, limit, left)
 }
 
-// receiveInto is receiveBody with a share of the budget that may hold memory already.
-func receiveInto(share *memory.Share, r *http.Request, limit int64, left time.Duration) (*Body, error) {
+// receiveInto is receiveBody with an account of the budget that may hold memory already.
+func receiveInto(account *memory.Account, r *http.Request, limit int64, left time.Duration) (*Body, error) {
 	conn := connOf(r)
 	setReadDeadline(conn, time.Now().Add(left))
 	if conn != nil {
-		share.Unpin(func() { setReadDeadline(conn, longAgo) })
+		account.Unpin(func() { setReadDeadline(conn, longAgo) })
 	}
-	body, err := readBody(r.Body, r.ContentLength, limit, share)
-	if !share.Pin() {
+	body, err := readBody(r.Body, r.ContentLength, limit, account)
+	if !account.Pin() {
 		err = errNoMemory
 	}
 	if err != nil {
-		share.Close()
+		account.Close()
 		setReadDeadline(conn, longAgo)
 		return nil, err
 	}
--- a/internal/callpath/receivebody_test.go
+++ b/internal/callpath/receivebody_test.go
@@ -51,11 +51,11 @@
 func TestMemoryFollowsWhatHasArrived(t *testing.T) {
 	is := is.New(t)
 	budget := memory.NewBudget(1<<30, 0, time.Now)
-	share := budget.Open()
+	account := budget.Open()
 	arriving, write := io.Pipe()
 	done := make(chan error)
 	go func() {
-		_, err := readBody(arriving, 64<<20, 64<<20, share)
+		_, err := readBody(arriving, 64<<20, 64<<20, account)
 		done <- err
 	}()
 	const sent = 100_000
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -21,7 +21,7 @@
 	stalledAfter = time.Second
 )
 
-// Budget is memory that many holders share. It is safe for concurrent use. A nil budget is unlimited.
+// Budget is memory that many requests and responses draw on. It is safe for concurrent use. A nil budget is unlimited.
 type Budget struct {
 	limit int64
 	now   func() time.Time
@@ -29,7 +29,7 @@
 	mu      sync.Mutex
 	used    int64
 	evicted int64
-	// transfers holds the shares that can be evicted; the one that has not progressed for the longest
+	// transfers holds the accounts that can be evicted; the one that has not progressed for the longest
 	// time is at the front.
 	transfers list.List
 }
@@ -41,26 +41,26 @@
 	return &Budget{limit: max(limit, needed), now: now}
 }
 
-// Share is the part of a budget that one request or response holds. It begins empty. The memory is
-// counted as it is taken, not as it is announced. A nil share is unlimited.
-type Share struct {
+// Account is the part of a budget that one request or response holds. It begins empty. The memory is
+// counted as it is taken, not as it is announced. A nil account is unlimited.
+type Account struct {
 	budget *Budget
 	held   int64
 	// reserved is how much of held has been taken in advance and is not yet in use.
 	reserved int64
-	// transfer is the element of the share in budget.transfers, or nil while the share is pinned.
+	// transfer is the element of the account in budget.transfers, or nil while the account is pinned.
 	transfer     *list.Element
 	progressedAt time.Time
 	evict        func()
 	evicted      bool
 }
 
-// Open returns an empty share that is pinned: it cannot be evicted.
-func (b *Budget) Open() *Share {
+// Open returns an empty account that is pinned: it cannot be evicted.
+func (b *Budget) Open() *Account {
 	if b == nil {
 		return nil
 	}
-	return &Share{budget: b}
+	return &Account{budget: b}
 }
 
 // Used returns the number of bytes that are taken.
@@ -70,16 +70,16 @@
 	return b.used
 }
 
-// Evicted returns how many shares have been evicted.
+// Evicted returns how many accounts have been evicted.
 func (b *Budget) Evicted() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.evicted
 }
 
-// Unpin allows the share to be evicted when the budget is used up and its transfer has stalled. The
+// Unpin allows the account to be evicted when the budget is used up and its transfer has stalled. The
 // function evict must end the transfer without blocking, so that the memory becomes free.
-func (s *Share) Unpin(evict func()) {
+func (s *Account) Unpin(evict func()) {
 	if s == nil {
 		return
 	}
@@ -93,8 +93,8 @@
 	s.transfer = s.budget.transfers.PushBack(s)
 }
 
-// Pin protects the share from eviction. False: it has been evicted.
-func (s *Share) Pin() bool {
+// Pin protects the account from eviction. False: it has been evicted.
+func (s *Account) Pin() bool {
 	if s == nil {
 		return true
 	}
@@ -104,8 +104,8 @@
 	return !s.evicted
 }
 
-// remove removes the share from the transfers. The caller holds the lock.
-func (s *Share) remove() {
+// remove removes the account from the transfers. The caller holds the lock.
+func (s *Account) remove() {
 	if s.transfer != nil {
 		s.budget.transfers.Remove(s.transfer)
 		s.transfer = nil
@@ -113,8 +113,8 @@
 }
 
 // Take takes n more bytes. If the budget is used up, stalled transfers are evicted. False: there is no
-// room, or the share itself has been evicted.
-func (s *Share) Take(n int64) bool {
+// room, or the account itself has been evicted.
+func (s *Account) Take(n int64) bool {
 	if s == nil {
 		return true
 	}
@@ -127,7 +127,7 @@
 	return ok
 }
 
-func (s *Share) take(n int64) (evicted []*Share, ok bool) {
+func (s *Account) take(n int64) (evicted []*Account, ok bool) {
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -157,7 +157,7 @@
 }
 
 // Reserve takes n bytes in advance for the calls of Take that follow. False: there is no room.
-func (s *Share) Reserve(n int64) bool {
+func (s *Account) Reserve(n int64) bool {
 	if s == nil {
 		return true
 	}
@@ -170,12 +170,12 @@
 
 // stalled returns the transfer that has stalled for the longest time, or nil if none has. The caller
 // holds the lock.
-func (b *Budget) stalled() *Share {
+func (b *Budget) stalled() *Account {
 	front := b.transfers.Front()
 	if front == nil {
 		return nil
 	}
-	s := front.Value.(*Share)
+	s := front.Value.(*Account)
 	if b.now().Sub(s.progressedAt) < stalledAfter {
 		return nil
 	}
@@ -183,7 +183,7 @@
 }
 
 // progress records that the transfer has progressed. The caller holds the lock.
-func (s *Share) progress() {
+func (s *Account) progress() {
 	if s.transfer != nil {
 		s.progressedAt = s.budget.now()
 		s.budget.transfers.MoveToBack(s.transfer)
@@ -191,7 +191,7 @@
 }
 
 // Give gives n bytes back, of a transfer that has progressed.
-func (s *Share) Give(n int64) {
+func (s *Account) Give(n int64) {
 	if s == nil {
 		return
 	}
@@ -203,8 +203,8 @@
 	s.progress()
 }
 
-// Evicted reports whether the share has been evicted.
-func (s *Share) Evicted() bool {
+// Evicted reports whether the account has been evicted.
+func (s *Account) Evicted() bool {
 	if s == nil {
 		return false
 	}
@@ -213,8 +213,8 @@
 	return s.evicted
 }
 
-// Close gives all bytes back. The share must not be used afterwards, except by Close.
-func (s *Share) Close() {
+// Close gives all bytes back. The account must not be used afterwards, except by Close.
+func (s *Account) Close() {
 	if s == nil {
 		return
 	}
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -16,30 +16,30 @@
 func newClock() *clock { return &clock{time.Unix(1000, 0)} }
 
 // TestBudgetIsNeverExceeded guards against memory that is counted twice or lost: whatever holders do,
-// the bytes in use are the sum of what they hold and within the limit, and no pinned share is evicted.
+// the bytes in use are the sum of what they hold and within the limit, and no pinned account is evicted.
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	const limit, holders = 1 << 20, 12
 	rapid.Check(t, func(t *rapid.T) {
 		c := newClock()
 		b := NewBudget(limit, 0, c.now)
-		shares := make([]*Share, holders)
+		accounts := make([]*Account, holders)
 		held, pinned, gone := make([]int64, holders), make([]bool, holders), make([]bool, holders)
 		open := func(i int) {
-			shares[i], held[i], pinned[i], gone[i] = b.Open(), 0, true, false
+			accounts[i], held[i], pinned[i], gone[i] = b.Open(), 0, true, false
 		}
 		for i := range holders {
 			open(i)
 		}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			i := rapid.IntRange(0, holders-1).Draw(t, "holder")
-			s := shares[i]
+			s := accounts[i]
 			n := rapid.Int64Range(1, 200<<10).Draw(t, "bytes")
 			switch rapid.SampledFrom([]string{"take", "take", "give", "unpin", "pin", "close", "wait"}).Draw(t, "op") {
 			case "take":
 				if s.Take(n) {
 					held[i] += n
 					if gone[i] {
-						t.Fatal("an evicted share took memory")
+						t.Fatal("an evicted account took memory")
 					}
 				}
 			case "give":
@@ -48,7 +48,7 @@
 			case "unpin":
 				s.Unpin(func() {
 					if pinned[i] {
-						t.Fatal("a pinned share was evicted")
+						t.Fatal("a pinned account was evicted")
 					}
 					held[i], gone[i] = 0, true
 				})
@@ -99,7 +99,7 @@
 	c := newClock()
 	b := NewBudget(800, 0, c.now)
 	var evicted []string
-	open := func(name string, n int64) *Share {
+	open := func(name string, n int64) *Account {
 		s := b.Open()
 		s.Unpin(func() { evicted = append(evicted, name) })
 		is.True(s.Take(n))
